--- a/src/heatherquay/app/command_line.cpp
+++ b/src/heatherquay/app/command_line.cpp
@@ -54,7 +54,7 @@
 class CommandLine
 {
 public:
-    CommandLine(std::ostream &out, std::ostream &err);
+    CommandLine(std::ostream &out, std::ostream &err, const PlatformService &platform);
     int run(int argc, const char *const *argv);
 
 private:
@@ -74,6 +74,7 @@
 
     std::ostream &m_out;
     std::ostream &m_err;
+    const PlatformService &m_platform;
     Arguments m_arguments;
     CLI::App m_app{"heatherquay: a scheduler for multi-accelerator jobs under team guarantees, and a request router."};
     std::function<ExitCode()> m_action;
@@ -92,9 +93,10 @@
     }
 }
 
-CommandLine::CommandLine(std::ostream &out, std::ostream &err)
+CommandLine::CommandLine(std::ostream &out, std::ostream &err, const PlatformService &platform)
     : m_out(out)
     , m_err(err)
+    , m_platform(platform)
 {
     m_app.require_subcommand(1);
     m_app.footer(footer);
@@ -121,10 +123,17 @@
 void CommandLine::addServing()
 {
     auto *serve = m_app.add_subcommand("serve", "Run an entry until SIGTERM");
-    serve->add_option("--config", m_arguments.configFile, "Settings file (TOML)")->required();
+    auto *config = serve->add_option("--config", m_arguments.configFile, "Settings file (TOML)");
+    if (m_platform.settingsPath.empty()) {
+        config->required();
+    }
     serve->footer(footer);
     serve->callback([this] {
         m_action = [this] {
+            if (m_arguments.configFile.empty()) {
+                transport::configureLog("info");
+                return static_cast<ExitCode>(m_platform.run(m_platform.settingsPath));
+            }
             const state::EntrySettings settings = readSettings(m_arguments.configFile);
             transport::configureLog(settings.logLevel);
             return static_cast<ExitCode>(runEntry(settings));
@@ -363,9 +372,10 @@
 
 } // namespace detail
 
-int runCommandLine(int argc, const char *const *argv, std::ostream &out, std::ostream &err)
+int runCommandLine(int argc, const char *const *argv, std::ostream &out, std::ostream &err,
+                   const PlatformService &platform)
 {
-    return detail::CommandLine(out, err).run(argc, argv);
+    return detail::CommandLine(out, err, platform).run(argc, argv);
 }
 
 } // namespace heatherquay::app
--- a/src/heatherquay/app/main.cpp
+++ b/src/heatherquay/app/main.cpp
@@ -1,8 +1,11 @@
 #include "heatherquay/app/command_line.hpp"
+#include "platform/node.hpp"
 
 #include <iostream>
 
 int main(int argc, char **argv)
 {
-    return heatherquay::app::runCommandLine(argc, argv, std::cout, std::cerr);
+    const heatherquay::app::PlatformService platform{heatherquay::platform::settingsPath(),
+                                                     heatherquay::platform::runNode};
+    return heatherquay::app::runCommandLine(argc, argv, std::cout, std::cerr, platform);
 }
--- /dev/null
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -0,0 +1,594 @@
+#pragma once
+
+#include "heatherquay/coordination/batch/decider.hpp"
+
+#include "heatherquay/error.hpp"
+#include "heatherquay/protocol/batch/record_codec.hpp"
+#include "heatherquay/protocol/wait.hpp"
+#include "heatherquay/transport/log.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace heatherquay::coordination::batch
+{
+
+namespace detail
+{
+
+constexpr auto waitTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+constexpr std::chrono::milliseconds idleRecheck{1'000}; // A session without runs looks for new ones at least so often.
+constexpr std::uint32_t recordsPerJobMax = 100; // Occurrences removed at once; the rest stays for the next pass.
+constexpr std::uint32_t forgetBatch = 20; // Jobs forgotten a pass, so that a backlog does not hold up decisions.
+
+} // namespace detail
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+Decider<Store, Worker>::Decider(boost::asio::any_io_executor executor, Store &store,
+                                protocol::batch::FencingToken token, DeciderPorts<Worker> ports, DeciderTimes times,
+                                state::batch::SchedulerSettings settings)
+    : m_executor(std::move(executor))
+    , m_store(store)
+    , m_token(token)
+    , m_ports(std::move(ports))
+    , m_times(times)
+    , m_scheduler(settings)
+    , m_writer(store, m_ports.term, m_ports.confirm)
+    , m_jobs(
+          store, jobsTable, {intakePart},
+          [this](const protocol::batch::StoredRow &row) {
+              takeJob(row);
+          },
+          MirrorTimes{.pause = std::chrono::milliseconds(5)})
+    , m_workers(store, m_ports.workersTable, {std::string()},
+                [this](const protocol::batch::StoredRow &row) {
+                    takeWorker(row);
+                })
+    , m_wake(m_executor)
+{
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::start()
+{
+    m_tookOverAt = now();
+    // Each coroutine keeps the decider, and with it the mirrors, alive until it ends.
+    const auto follow
+        = [](std::shared_ptr<Decider> self, TableMirror<Store> Decider::*mirror) -> boost::asio::awaitable<void> {
+        co_await ((*self).*mirror).run();
+    };
+    spawn(follow(shared_from_this(), &Decider::m_jobs));
+    spawn(follow(shared_from_this(), &Decider::m_workers));
+    const auto main = [](std::shared_ptr<Decider> self) -> boost::asio::awaitable<void> {
+        co_await self->run();
+    };
+    spawn(main(shared_from_this()));
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::stop()
+{
+    m_stopped = true;
+    m_jobs.stop();
+    m_workers.stop();
+    for (const auto &[id, session] : m_sessions) {
+        session->closed = true;
+        session->wake.cancel();
+    }
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::spawn(boost::asio::awaitable<void> task)
+{
+    boost::asio::co_spawn(m_executor, std::move(task), [](std::exception_ptr failure) {
+        if (!failure) {
+            return;
+        }
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception &error) {
+            transport::log(transport::LogLevel::Error, "decider-task-failed", {{"error", error.what()}});
+        }
+    });
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::wake()
+{
+    m_awake = true;
+    m_wake.cancel();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+state::Instant Decider<Store, Worker>::now() const
+{
+    return state::Instant(std::chrono::duration_cast<state::Duration>(Clock::now().time_since_epoch()));
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+state::Instant Decider<Store, Worker>::wall()
+{
+    return std::chrono::time_point_cast<state::Duration>(std::chrono::system_clock::now());
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+bool Decider<Store, Worker>::hasAuthority() const
+{
+    return !m_stopped && Clock::now() - m_ports.confirmedAt() <= m_times.authority;
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+state::Instant Decider<Store, Worker>::lapseOf(std::chrono::milliseconds lease) const
+{
+    const auto stretched = static_cast<std::int64_t>(static_cast<double>(lease.count()) / m_times.slowClock);
+    return now() + state::Duration(stretched) + m_times.lapseSlack;
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::setQueues(std::map<std::string, state::batch::QueuePolicy> queues)
+{
+    m_scheduler.setQueues(std::move(queues));
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::setGuarantees(const std::vector<state::batch::TeamGuarantee> &guarantees)
+{
+    m_scheduler.setGuarantees(guarantees);
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::noteBoard(const state::JobId &job)
+{
+    const auto entry = m_ports.board->find(job);
+    if (entry && entry->cancelWanted && m_recovered) {
+        m_scheduler.cancel(job, now());
+        wake();
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::takeJob(const protocol::batch::StoredRow &row)
+{
+    if (row.removed) {
+        return;
+    }
+    try {
+        const state::batch::JobSpec job = protocol::batch::decodeJob(row.value);
+        if (m_recovered) {
+            admit(job);
+        } else {
+            m_early[job.id] = job;
+        }
+    } catch (const Error &error) {
+        transport::log(transport::LogLevel::Error, "job-unreadable", {{"job", row.key.key}, {"error", error.what()}});
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::admit(const state::batch::JobSpec &job)
+{
+    const auto entry = m_ports.board->find(job.id);
+    if (entry && state::batch::isFinal(entry->state)) {
+        m_endedAt.try_emplace(job.id, now());
+        return;
+    }
+    m_scheduler.submit(job, now());
+    if (entry && entry->cancelWanted) {
+        m_scheduler.cancel(job.id, now());
+    }
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::takeWorker(const protocol::batch::StoredRow &row)
+{
+    const state::WorkerId id{row.key.key};
+    if (row.removed) {
+        transport::log(transport::LogLevel::Info, "worker-gone", {{"worker", id.value}});
+        m_scheduler.unregisterWorker(id);
+        wake();
+        return;
+    }
+    const auto spec = m_ports.readWorker(row);
+    if (!spec) {
+        return;
+    }
+    const state::batch::Worker *known = m_scheduler.workers().find(id);
+    if (known != nullptr && known->registered) {
+        state::batch::WorkerSpec same = *spec;
+        same.incarnation = std::max(same.incarnation, known->spec.incarnation);
+        if (known->spec == same) {
+            return; // A heartbeat.
+        }
+    }
+    transport::log(transport::LogLevel::Info, "worker-registered",
+                   {{"worker", id.value},
+                    {"incarnation", std::to_string(spec->incarnation.value)},
+                    {"draining", spec->draining ? "true" : "false"},
+                    {"row_version", std::to_string(row.version)}});
+    m_scheduler.registerWorker(*spec, now(), lapseOf(m_times.authority + m_times.lease));
+    openSession(*spec);
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::openSession(const state::batch::WorkerSpec &spec)
+{
+    auto &session = m_sessions[spec.id];
+    if (session && session->address != spec.address) {
+        session->closed = true;
+        session->wake.cancel();
+        session.reset();
+    }
+    if (!session) {
+        session = std::make_shared<Session>(m_executor, spec.id, spec.address, m_ports.connect(spec));
+    }
+    session->noteIncarnation(spec.incarnation);
+    session->wake.cancel();
+    if (m_recovered && !session->looking) {
+        session->looking = true;
+        spawn(lookLoop(session));
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<bool> Decider<Store, Worker>::recover()
+{
+    while (!m_stopped && (!m_jobs.loaded() || !m_workers.loaded())) {
+        co_await protocol::waitFor(m_times.passGap);
+    }
+    std::vector<state::batch::OccurrenceRecord> records;
+    protocol::batch::RowRange range{progressTable, deciderPart, {}, 500};
+    bool more = true;
+    while (more && !m_stopped) {
+        const auto page = co_await m_store.read(range, std::chrono::milliseconds(1'500));
+        if (!page.ok) {
+            co_await protocol::waitFor(m_times.passEvery);
+            continue;
+        }
+        for (const auto &row : page.rows) {
+            m_writer.noteVersion(row.key, row.version);
+            try {
+                records.push_back(protocol::batch::decodeOccurrence(row.value));
+            } catch (const Error &error) {
+                transport::log(transport::LogLevel::Error, "record-unreadable",
+                               {{"row", row.key.key}, {"error", error.what()}});
+            }
+        }
+        more = page.more && !page.rows.empty();
+        if (more) {
+            range.from = page.rows.back().key.key + '\0';
+        }
+    }
+    if (m_stopped) {
+        co_return false;
+    }
+    m_recovered = true;
+    for (const auto &[id, entry] : m_ports.board->all()) {
+        if (entry.statusVersion > 0) {
+            m_writer.noteVersion(statusRow(id), entry.statusVersion);
+        }
+    }
+    for (const auto &[id, job] : m_early) {
+        admit(job);
+    }
+    m_early.clear();
+    const state::Instant leaseUntil = m_tookOverAt + (lapseOf(m_times.authority + m_times.lease) - now());
+    for (const auto &record : records) {
+        m_scheduler.restore(record, now(), leaseUntil);
+    }
+    for (const auto &[id, session] : m_sessions) {
+        session->looking = true;
+        spawn(lookLoop(session));
+    }
+    transport::log(transport::LogLevel::Info, "decider-recovered",
+                   {{"token", std::to_string(m_token.value)},
+                    {"jobs", std::to_string(m_scheduler.liveJobs())},
+                    {"records", std::to_string(records.size())},
+                    {"workers", std::to_string(m_sessions.size())},
+                    {"took_ms", std::to_string((now() - m_tookOverAt).count())}});
+    co_return true;
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::run()
+{
+    const bool recovered = co_await recover();
+    if (!recovered) {
+        co_return;
+    }
+    while (!m_stopped) {
+        const bool stored = co_await pass();
+        if (!stored) {
+            co_await protocol::waitFor(m_times.passEvery);
+        }
+        co_await protocol::waitFor(m_times.passGap);
+        if (!m_awake && !m_stopped) {
+            m_wake.expires_after(m_times.passEvery);
+            co_await m_wake.async_wait(detail::waitTuple);
+        }
+        m_awake = false;
+        co_await forgetOldJobs();
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<bool> Decider<Store, Worker>::pass()
+{
+    state::batch::Decision decision = m_scheduler.decide(now(), wall());
+    report(decision);
+    for (const auto &stop : decision.stops) {
+        spawn(order(stop));
+    }
+    m_heldStarts.insert(m_heldStarts.end(), decision.starts.begin(), decision.starts.end());
+    std::map<state::WorkerId, std::pair<state::batch::Incarnation, std::uint64_t>> processed;
+    for (const auto &[id, session] : m_sessions) {
+        processed[id] = {session->incarnation, session->processedEnd};
+    }
+    std::vector<protocol::batch::RowPut> rows;
+    for (const auto &record : decision.records) {
+        rows.push_back({progressRow(record.job, record.occurrence), protocol::batch::encodeOccurrence(record)});
+    }
+    for (const auto &status : decision.statuses) {
+        rows.push_back({statusRow(status.job), protocol::batch::encodeStatus(status)});
+    }
+    const WriteOutcome outcome = co_await m_writer.write(std::move(rows));
+    if (m_stopped) {
+        co_return false;
+    }
+    if (outcome == WriteOutcome::Deposed) {
+        m_ports.depose("the store refused a record");
+        co_return false;
+    }
+    if (outcome == WriteOutcome::Failed) {
+        m_scheduler.recordAgain(decision);
+        co_return false;
+    }
+    for (const auto &status : decision.statuses) {
+        if (state::batch::isFinal(status.state)) {
+            m_endedAt[status.job] = now();
+        }
+    }
+    for (const auto &[id, session] : m_sessions) {
+        const auto found = processed.find(id);
+        const bool current = found != processed.end() && found->second.first == session->incarnation;
+        if (current && found->second.second > session->confirmedEnd) {
+            session->confirmedEnd = found->second.second;
+            session->wake.cancel();
+        }
+    }
+    dispatch(std::exchange(m_heldStarts, {}));
+    co_return true;
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::report(const state::batch::Decision &decision) const
+{
+    for (const auto &status : decision.statuses) {
+        transport::log(transport::LogLevel::Info, "job-state",
+                       {{"job", status.job.value}, {"state", protocol::batch::encodeStatus(status)}});
+    }
+    for (const auto &eviction : decision.evictions) {
+        transport::log(transport::LogLevel::Info, "run-evicted",
+                       {{"task", toString(eviction.victim)},
+                        {"for_job", eviction.beneficiary.value},
+                        {"lost_core_s", std::to_string(static_cast<std::int64_t>(eviction.lostCoreSeconds))}});
+    }
+    for (const auto &task : decision.hung) {
+        transport::log(transport::LogLevel::Warn, "run-hung", {{"task", toString(task)}});
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::dispatch(std::vector<state::batch::StartOrder> starts)
+{
+    for (state::batch::StartOrder &start : starts) {
+        spawn(order(std::move(start)));
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::order(state::batch::StartOrder start)
+{
+    const auto self = shared_from_this();
+    const auto found = m_sessions.find(start.worker);
+    if (m_stopped || !m_scheduler.beginStart(start.task, start.run)) {
+        co_return;
+    }
+    protocol::batch::OrderAnswer answer;
+    if (found == m_sessions.end() || !found->second->clock || !hasAuthority()) {
+        answer.status = protocol::batch::CallStatus::NotSent;
+        answer.failure = "no lease can be given now";
+    } else {
+        const auto session = found->second;
+        m_scheduler.leaseExtended(start.worker, lapseOf(m_times.lease));
+        answer = co_await session->calls->start(start, m_token, session->leaseEnd(m_times.lease), m_times.orderTimeout);
+        if (answer.clock) {
+            session->noteClock(*answer.clock);
+        }
+        session->wake.cancel();
+    }
+    if (m_stopped) {
+        co_return;
+    }
+    using protocol::batch::CallStatus;
+    using state::batch::StartOutcome;
+    StartOutcome outcome = StartOutcome::Refused;
+    if (answer.status == CallStatus::Answered) {
+        outcome = StartOutcome::Started;
+    } else if (answer.status == CallStatus::Unknown || answer.status == CallStatus::NotSent) {
+        // An order that did not leave is tried again like one without an answer.
+        outcome = StartOutcome::Unknown;
+    } else if (answer.status == CallStatus::NoRoom) {
+        outcome = StartOutcome::NoRoom;
+    }
+    const bool started = outcome == StartOutcome::Started;
+    transport::log(started ? transport::LogLevel::Info : transport::LogLevel::Warn, "run-ordered",
+                   {{"task", toString(start.task)},
+                    {"run", std::to_string(start.run)},
+                    {"worker", start.worker.value},
+                    {"outcome", started ? "started" : answer.failure}});
+    m_scheduler.startAnswered(start.task, start.run, outcome, now());
+    if (answer.status == CallStatus::Fenced) {
+        m_ports.depose("a worker has seen a higher token");
+    }
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::order(state::batch::StopOrder stop)
+{
+    const auto self = shared_from_this();
+    const auto found = m_sessions.find(stop.worker);
+    if (m_stopped || found == m_sessions.end()) {
+        co_return;
+    }
+    const auto session = found->second;
+    const auto answer = co_await session->calls->stop(stop, m_token, m_times.orderTimeout);
+    if (m_stopped) {
+        co_return;
+    }
+    transport::log(transport::LogLevel::Info, "run-stopped",
+                   {{"task", toString(stop.task)},
+                    {"run", std::to_string(stop.run)},
+                    {"worker", stop.worker.value},
+                    {"outcome", answer.failure.empty() ? "answered" : answer.failure}});
+    if (answer.status == protocol::batch::CallStatus::Answered) {
+        m_scheduler.stopAnswered(stop.task, stop.run, now());
+        session->wake.cancel();
+    } else if (answer.status == protocol::batch::CallStatus::Fenced) {
+        m_ports.depose("a worker has seen a higher token");
+    }
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::lookLoop(std::shared_ptr<Session> session)
+{
+    const auto self = shared_from_this();
+    while (!m_stopped && !session->closed) {
+        if (session->processedEnd > session->confirmedEnd) {
+            session->wake.expires_after(m_times.recordWait);
+            co_await session->wake.async_wait(detail::waitTuple);
+        } else if (!m_scheduler.needsLook(session->id)) {
+            if (m_scheduler.workers().find(session->id) == nullptr) {
+                break;
+            }
+            session->wake.expires_after(detail::idleRecheck);
+            co_await session->wake.async_wait(detail::waitTuple);
+            continue;
+        }
+        if (m_stopped) {
+            co_return;
+        }
+        co_await look(*session);
+    }
+    session->looking = false;
+    session->closed = true;
+    if (const auto found = m_sessions.find(session->id); found != m_sessions.end() && found->second == session) {
+        m_sessions.erase(found);
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::look(Session &session)
+{
+    protocol::batch::LookRequest request;
+    request.token = m_token;
+    request.confirmedEnd = session.confirmedEnd;
+    const state::batch::Worker *worker = m_scheduler.workers().find(session.id);
+    const bool runs = worker != nullptr && worker->runs > 0;
+    const bool settled = worker != nullptr && worker->fenced && !worker->silent && session.clock;
+    if (runs && settled && session.processedEnd == session.confirmedEnd) {
+        request.wait = m_times.lookWait;
+    }
+    if (runs && session.clock && hasAuthority()) {
+        request.leaseUntil = session.leaseEnd(m_times.lease);
+        m_scheduler.leaseExtended(session.id, lapseOf(m_times.lease));
+    }
+    const state::Instant askedAt = now();
+    auto answer = co_await session.calls->look(request, request.wait + m_times.lookGrace);
+    if (m_stopped) {
+        co_return;
+    }
+    if (answer.status == protocol::batch::CallStatus::Fenced) {
+        m_ports.depose("a worker has seen a higher token");
+        co_return;
+    }
+    if (answer.status != protocol::batch::CallStatus::Answered) {
+        if (++session.failures == 1) {
+            transport::log(transport::LogLevel::Warn, "worker-silent",
+                           {{"worker", session.id.value}, {"error", answer.failure}});
+        }
+        m_scheduler.workerSilent(session.id);
+        wake();
+        co_await protocol::waitFor(m_times.lookRetry);
+        co_return;
+    }
+    if (session.failures > 0) {
+        transport::log(transport::LogLevel::Info, "worker-answers", {{"worker", session.id.value}});
+    }
+    session.failures = 0;
+    if (answer.report.incarnation < session.incarnation) {
+        co_return;
+    }
+    session.noteIncarnation(answer.report.incarnation);
+    session.noteClock(answer.clock);
+    answer.report.askedAt = askedAt;
+    for (const auto &end : answer.report.ended) {
+        session.processedEnd = std::max(session.processedEnd, end.number);
+        if (end.number > session.confirmedEnd) {
+            transport::log(transport::LogLevel::Info, "run-ended",
+                           {{"task", toString(end.task)},
+                            {"run", std::to_string(end.run)},
+                            {"worker", session.id.value},
+                            {"how", std::to_string(static_cast<int>(end.kind))}});
+        }
+    }
+    m_scheduler.workerAnswered(session.id, answer.report, now());
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::forgetOldJobs()
+{
+    std::vector<state::JobId> due;
+    for (const auto &[job, endedAt] : m_endedAt) {
+        if (now() >= endedAt + m_times.forgetAfter && due.size() < detail::forgetBatch) {
+            due.push_back(job);
+        }
+    }
+    for (const state::JobId &job : due) {
+        // The intake goes last: as long as it is there, the job counts as known.
+        const protocol::batch::RowRange range{progressTable, deciderPart, job.value, detail::recordsPerJobMax};
+        const auto page = co_await m_store.read(range, m_times.orderTimeout);
+        if (!page.ok || m_stopped) {
+            co_return;
+        }
+        std::vector<protocol::batch::RowKey> rows;
+        for (const auto &row : page.rows) {
+            if (row.key.key.starts_with(job.value + ".") && rows.size() < RecordWriter<Store>::rowsPerCall) {
+                rows.push_back(row.key);
+            }
+        }
+        rows.push_back(statusRow(job));
+        const bool recordsGone = co_await m_writer.remove(rows, true);
+        if (!recordsGone || m_stopped) {
+            co_return;
+        }
+        const std::vector<protocol::batch::RowKey> intake{jobRow(job), intakeRow(job)};
+        const bool intakeGone = co_await m_writer.remove(intake, false);
+        if (!intakeGone || m_stopped) {
+            co_return;
+        }
+        m_endedAt.erase(job);
+    }
+}
+
+} // namespace heatherquay::coordination::batch
--- /dev/null
+++ b/src/heatherquay/coordination/batch/job_board.cpp
@@ -0,0 +1,80 @@
+#include "heatherquay/coordination/batch/job_board.hpp"
+
+#include "heatherquay/coordination/batch/layout.hpp"
+#include "heatherquay/error.hpp"
+#include "heatherquay/protocol/batch/record_codec.hpp"
+#include "heatherquay/protocol/json_fields.hpp"
+#include "heatherquay/transport/log.hpp"
+
+namespace heatherquay::coordination::batch
+{
+
+std::string encodeIntake(const IntakeRecord &record)
+{
+    boost::json::object json;
+    json["queue"] = record.queue;
+    json["cancel"] = record.cancelWanted;
+    return boost::json::serialize(json);
+}
+
+IntakeRecord decodeIntake(const std::string &text)
+{
+    boost::system::error_code error;
+    const boost::json::value json = boost::json::parse(text, error);
+    if (error) {
+        throw Error(ErrorKind::BadInput, "intake record is not JSON: " + error.message(), "remove the row");
+    }
+    IntakeRecord record;
+    protocol::detail::FieldReader reader(json, "intake");
+    reader("queue", record.queue);
+    reader.optional("cancel", record.cancelWanted);
+    return record;
+}
+
+std::optional<state::JobId> JobBoard::take(const protocol::batch::StoredRow &row)
+{
+    const state::JobId job{row.key.key};
+    const bool intake = row.key.part == intakePart;
+    if (row.removed) {
+        m_jobs.erase(job);
+        return job;
+    }
+    try {
+        if (intake) {
+            const IntakeRecord record = decodeIntake(row.value);
+            BoardEntry &entry = m_jobs[job];
+            entry.queue = record.queue;
+            entry.accepted = true;
+            entry.cancelWanted = record.cancelWanted;
+        } else {
+            const state::batch::JobStatus status = protocol::batch::decodeStatus(job, row.value);
+            BoardEntry &entry = m_jobs[job];
+            entry.queue = status.queue;
+            entry.state = status.state;
+            entry.statusVersion = row.version;
+        }
+    } catch (const Error &error) {
+        transport::log(transport::LogLevel::Error, "board-row-unreadable",
+                       {{"job", job.value}, {"part", row.key.part}, {"error", error.what()}});
+        return std::nullopt;
+    }
+    return job;
+}
+
+std::optional<BoardEntry> JobBoard::find(const state::JobId &job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::uint32_t JobBoard::waiting(const std::string &queue) const
+{
+    std::uint32_t count = 0;
+    for (const auto &[id, entry] : m_jobs) {
+        const bool waits = entry.accepted && !entry.cancelWanted && entry.state == state::batch::JobState::Queued;
+        count += waits && entry.queue == queue ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace heatherquay::coordination::batch
--- /dev/null
+++ b/src/heatherquay/coordination/batch/layout.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "heatherquay/protocol/batch/row_store.hpp"
+#include "heatherquay/state/ids.hpp"
+
+#include <string>
+
+namespace heatherquay::coordination::batch
+{
+
+// Tables. Every process follows the board; only the decider follows jobs and reads progress.
+constexpr const char *boardTable = "hq-board"; ///< What all processes need to know.
+constexpr const char *jobsTable = "hq-jobs"; ///< Accepted jobs, which never change.
+constexpr const char *progressTable = "hq-progress"; ///< What the decider records of runs.
+
+// Parts. Entries write into the first, the decider into the second under the condition of its term.
+constexpr const char *intakePart = "intake";
+constexpr const char *deciderPart = "decider";
+constexpr const char *membersPart = "members";
+
+// Keys of the board that are no job ids; those are hexadecimal.
+constexpr const char *termKey = "!term";
+constexpr const char *pulseKey = "!pulse";
+
+inline protocol::batch::RowKey jobRow(const state::JobId &job)
+{
+    return {jobsTable, intakePart, job.value};
+}
+inline protocol::batch::RowKey intakeRow(const state::JobId &job)
+{
+    return {boardTable, intakePart, job.value};
+}
+inline protocol::batch::RowKey statusRow(const state::JobId &job)
+{
+    return {boardTable, deciderPart, job.value};
+}
+inline protocol::batch::RowKey progressRow(const state::JobId &job, std::uint32_t occurrence)
+{
+    return {progressTable, deciderPart, job.value + "." + std::to_string(occurrence)};
+}
+
+} // namespace heatherquay::coordination::batch
--- /dev/null
+++ b/src/heatherquay/protocol/batch/record_codec.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "heatherquay/state/batch/progress.hpp"
+
+#include <string>
+
+namespace heatherquay::protocol::batch
+{
+
+/// @return the job as text for a row
+std::string encodeJob(const state::batch::JobSpec &job);
+/// @throws Error(BadInput) when @p text is not an encoded job
+state::batch::JobSpec decodeJob(const std::string &text);
+
+/// @return the progress of an occurrence as text for a row
+std::string encodeOccurrence(const state::batch::OccurrenceRecord &record);
+/// @throws Error(BadInput) when @p text is not an encoded record
+state::batch::OccurrenceRecord decodeOccurrence(const std::string &text);
+
+/// @return the status without the job's id, which is the row's key
+std::string encodeStatus(const state::batch::JobStatus &status);
+/// @throws Error(BadInput) when @p text is not an encoded status
+state::batch::JobStatus decodeStatus(const state::JobId &job, const std::string &text);
+
+} // namespace heatherquay::protocol::batch
--- a/src/heatherquay/protocol/json_fields.hpp
+++ b/src/heatherquay/protocol/json_fields.hpp
@@ -126,6 +126,10 @@
 {
     return static_cast<std::uint64_t>(value);
 }
+inline boost::json::value toJson(std::int64_t value)
+{
+    return value;
+}
 inline boost::json::value toJson(state::Duration value)
 {
     return value.count();
@@ -199,6 +203,19 @@
     }
     value = static_cast<T>(number);
 }
+inline void fromJson(const boost::json::value &json, std::int64_t &value, const std::string &path)
+{
+    if (!json.is_int64()) {
+        failField(path, "is not a whole number", "give a whole number");
+    }
+    value = json.get_int64();
+}
+inline void fromJson(const boost::json::value &json, state::Instant &value, const std::string &path)
+{
+    std::int64_t milliseconds = 0;
+    fromJson(json, milliseconds, path);
+    value = state::Instant(state::Duration(milliseconds));
+}
 inline void fromJson(const boost::json::value &json, state::Duration &value, const std::string &path)
 {
     constexpr std::int64_t longestMilliseconds = 100LL * 365 * 24 * 3'600'000;
--- /dev/null
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -0,0 +1,212 @@
+#include "heatherquay/state/batch/placement.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace heatherquay::state::batch
+{
+
+namespace detail
+{
+
+// Weights of a task's fit: the lowest score wins.
+constexpr double acceleratorLeftWeight = 1.0; // Per accelerator left free, so that empty workers stay whole.
+constexpr double processorLeftWeight = 0.5; // For a whole worker's processors left free.
+constexpr double slownessWeight = 4.0; // For twice the expected run time; as much as four accelerators left.
+constexpr double urgentSlownessWeight = 12.0; // Urgent work takes a fast worker even when that splits an empty one.
+constexpr double avoidedWeight = 1'000.0; // The worker of the last failure comes last.
+constexpr double evictionWeight = 0.1; // Per core-second that would be lost.
+
+std::uint32_t copiesThatFit(const Resources &need, const Resources &room)
+{
+    std::int64_t copies = std::numeric_limits<std::uint32_t>::max();
+    const auto bound = [&copies](std::int64_t wanted, std::int64_t given) {
+        if (wanted > 0) {
+            copies = std::min(copies, std::max<std::int64_t>(given, 0) / wanted);
+        }
+    };
+    bound(need.cpuMillicores, room.cpuMillicores);
+    bound(need.memoryMegabytes, room.memoryMegabytes);
+    bound(need.accelerators, room.accelerators);
+    return static_cast<std::uint32_t>(copies);
+}
+
+bool slowsOverRacks(const StepSpec &step)
+{
+    return step.gang && step.sameRack;
+}
+
+} // namespace detail
+
+Resources claimOf(const StepSpec &step)
+{
+    Resources claim = step.need;
+    if (step.fills) {
+        claim.cpuMillicores = 0;
+    }
+    return claim;
+}
+
+Placement::Placement(const WorkerPool &pool, Instant now)
+    : m_pool(pool)
+    , m_now(now)
+{
+}
+
+Placement::Candidates Placement::candidates(const PlacementRequest &request,
+                                            const std::map<WorkerId, Evictable> *evictable) const
+{
+    Candidates found;
+    const StepSpec &step = *request.step;
+    const Resources claim = claimOf(step);
+    for (const auto &[id, worker] : m_pool.all()) {
+        if (worker.spec.service != request.service || !m_pool.accepts(worker, m_now)
+            || (!step.requiredLabel.empty() && !worker.hasLabel(step.requiredLabel))) {
+            continue;
+        }
+        Candidate candidate{
+            &worker, worker.free(), {}, 0, std::numeric_limits<std::uint32_t>::max(), id == request.avoided};
+        if (step.tasksPerWorkerMax > 0) {
+            const auto there = request.stepTasks.find(id);
+            const std::uint32_t running = there == request.stepTasks.end() ? 0 : there->second;
+            candidate.tasksLeft = running >= step.tasksPerWorkerMax ? 0 : step.tasksPerWorkerMax - running;
+        }
+        if (evictable != nullptr) {
+            if (const auto victims = evictable->find(id); victims != evictable->end()) {
+                candidate.evictableRoom = victims->second.room;
+                candidate.evictionCost = victims->second.cost;
+            }
+        }
+        Resources most = candidate.room;
+        most += candidate.evictableRoom;
+        if (candidate.tasksLeft > 0 && claim.fitsIn(most)) {
+            found.push_back(candidate);
+        }
+    }
+    return found;
+}
+
+std::optional<std::vector<WorkerId>> Placement::fill(Candidates pool, const PlacementRequest &request,
+                                                     double &cost) const
+{
+    const Resources claim = claimOf(*request.step);
+    std::vector<WorkerId> chosen;
+    chosen.reserve(request.tasks);
+    cost = 0;
+    for (std::uint32_t task = 0; task < request.tasks; ++task) {
+        Candidate *best = nullptr;
+        double bestScore = std::numeric_limits<double>::max();
+        for (Candidate &candidate : pool) {
+            Resources most = candidate.room;
+            most += candidate.evictableRoom;
+            if (candidate.tasksLeft == 0 || !claim.fitsIn(most)) {
+                continue;
+            }
+            const Resources left = [&] {
+                Resources room = candidate.room;
+                room -= claim;
+                return room;
+            }();
+            const double slowness = request.preferFast ? detail::urgentSlownessWeight : detail::slownessWeight;
+            double score
+                = detail::acceleratorLeftWeight * static_cast<double>(std::max<std::int64_t>(left.accelerators, 0))
+                + detail::processorLeftWeight * static_cast<double>(std::max<std::int64_t>(left.cpuMillicores, 0))
+                    / static_cast<double>(std::max<std::int64_t>(candidate.worker->spec.capacity.cpuMillicores, 1))
+                + slowness * std::max(candidate.worker->slowness - 1, -0.5);
+            if (candidate.avoided) {
+                score += detail::avoidedWeight;
+            }
+            if (!claim.fitsIn(candidate.room)) {
+                score += detail::evictionWeight * candidate.evictionCost + 1;
+            }
+            if (score < bestScore) {
+                bestScore = score;
+                best = &candidate;
+            }
+        }
+        if (best == nullptr) {
+            break;
+        }
+        best->room -= claim;
+        --best->tasksLeft;
+        cost += bestScore;
+        chosen.push_back(best->worker->spec.id);
+    }
+    return chosen.size() >= std::max(request.atLeast, 1U) ? std::optional(chosen) : std::nullopt;
+}
+
+std::uint32_t Placement::tasksThatFit(const Candidates &pool, const PlacementRequest &request)
+{
+    std::uint64_t fit = 0;
+    for (const Candidate &candidate : pool) {
+        const Resources &whole = candidate.worker->spec.capacity;
+        fit += std::min(candidate.tasksLeft, detail::copiesThatFit(claimOf(*request.step), whole));
+    }
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(fit, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::optional<std::vector<WorkerId>> Placement::choose(const PlacementRequest &request, const Candidates &pool) const
+{
+    const StepSpec &step = *request.step;
+    const bool rackBound = detail::slowsOverRacks(step) || !step.dataRack.empty();
+    if (!rackBound) {
+        double cost = 0;
+        return fill(pool, request, cost);
+    }
+    // Racks are judged by what idle workers could hold, so that a busy rack is waited for and a small one is not.
+    std::map<std::string, Candidates> idle;
+    for (const auto &[id, worker] : m_pool.all()) {
+        if (worker.spec.service == request.service && worker.registered && !worker.spec.draining
+            && (step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel))) {
+            const std::uint32_t most
+                = step.tasksPerWorkerMax > 0 ? step.tasksPerWorkerMax : std::numeric_limits<std::uint32_t>::max();
+            idle[worker.spec.rack].push_back({&worker, {}, {}, 0, most, false});
+        }
+    }
+    const auto holds = [&](const std::string &rack) {
+        const auto found = idle.find(rack);
+        return found != idle.end() && tasksThatFit(found->second, request) >= request.atLeast;
+    };
+    const auto within = [&](const std::string &rack) {
+        Candidates subset;
+        std::copy_if(pool.begin(), pool.end(), std::back_inserter(subset), [&](const Candidate &candidate) {
+            return candidate.worker->spec.rack == rack;
+        });
+        return subset;
+    };
+    double cost = 0;
+    if (!step.dataRack.empty() && holds(step.dataRack)) {
+        return fill(within(step.dataRack), request, cost);
+    }
+    if (!detail::slowsOverRacks(step)) {
+        return fill(pool, request, cost);
+    }
+    bool anyHolds = false;
+    std::optional<std::vector<WorkerId>> best;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const auto &[rack, workers] : idle) {
+        if (!holds(rack)) {
+            continue;
+        }
+        anyHolds = true;
+        const auto chosen = fill(within(rack), request, cost);
+        if (chosen && cost < bestCost) {
+            best = chosen;
+            bestCost = cost;
+        }
+    }
+    return anyHolds ? best : fill(pool, request, cost);
+}
+
+std::optional<std::vector<WorkerId>> Placement::find(const PlacementRequest &request) const
+{
+    return choose(request, candidates(request, nullptr));
+}
+
+std::optional<std::vector<WorkerId>> Placement::findWithEviction(const PlacementRequest &request,
+                                                                 const std::map<WorkerId, Evictable> &evictable) const
+{
+    return choose(request, candidates(request, &evictable));
+}
+
+} // namespace heatherquay::state::batch
--- /dev/null
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "heatherquay/state/batch/unit.hpp"
+#include "heatherquay/state/batch/worker_pool.hpp"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace heatherquay::state::batch
+{
+
+/// What a placement is asked for.
+struct PlacementRequest
+{
+    const StepSpec *step{};
+    std::string service;
+    std::uint32_t tasks{1};
+    std::uint32_t atLeast{1}; ///< Fewer placed tasks than this are no placement; as many as tasks for a gang.
+    WorkerId avoided; ///< Used only when no other worker fits.
+    /// Tasks of the step that each worker already runs; filled only when the step bounds them.
+    std::map<WorkerId, std::uint32_t> stepTasks;
+    bool preferFast{}; ///< Prefers workers that have been fast over ones that leave less room unused.
+};
+
+/// What would have to be stopped on a worker to make room.
+struct Evictable
+{
+    Resources room; ///< That ends of the stopped runs would give back.
+    double cost{}; ///< Core-seconds that would be lost.
+};
+
+/// Finds room for the tasks of a unit.
+class Placement
+{
+public:
+    Placement(const WorkerPool &pool, Instant now);
+
+    /// Workers with free room now, one a placed task.
+    /// A gang that slows down over racks is kept within one, unless no rack could ever hold it.
+    /// @return nothing when there is no room
+    std::optional<std::vector<WorkerId>> find(const PlacementRequest &request) const;
+
+    /// As find(), but counts room that stopping other runs would give, and keeps the loss low.
+    /// @param evictable what could be stopped on a worker
+    std::optional<std::vector<WorkerId>> findWithEviction(const PlacementRequest &request,
+                                                          const std::map<WorkerId, Evictable> &evictable) const;
+
+private:
+    struct Candidate
+    {
+        const Worker *worker{};
+        Resources room; ///< Free now.
+        Resources evictableRoom;
+        double evictionCost{};
+        std::uint32_t tasksLeft{}; ///< By the bound of tasks on one worker.
+        bool avoided{};
+    };
+    using Candidates = std::vector<Candidate>;
+
+    Candidates candidates(const PlacementRequest &request, const std::map<WorkerId, Evictable> *evictable) const;
+    std::optional<std::vector<WorkerId>> fill(Candidates pool, const PlacementRequest &request, double &cost) const;
+    std::optional<std::vector<WorkerId>> choose(const PlacementRequest &request, const Candidates &pool) const;
+    /// @return how many tasks the workers could hold if they were idle
+    static std::uint32_t tasksThatFit(const Candidates &pool, const PlacementRequest &request);
+
+    const WorkerPool &m_pool;
+    Instant m_now;
+};
+
+/// What one task of the step takes from a worker's room.
+Resources claimOf(const StepSpec &step);
+
+} // namespace heatherquay::state::batch
--- /dev/null
+++ b/src/heatherquay/state/batch/run_estimates.cpp
@@ -0,0 +1,55 @@
+#include "heatherquay/state/batch/run_estimates.hpp"
+
+#include <algorithm>
+
+namespace heatherquay::state::batch
+{
+
+namespace detail
+{
+
+constexpr std::uint32_t runsBeforeTrust = 3; // Below this the declared time is as good a guess.
+constexpr double newestWeight = 0.1; // Of the newest run in the mean, once there are more than ten.
+
+} // namespace detail
+
+void RunEstimates::learn(const std::string &queue, Duration ran)
+{
+    Record &record = m_queues[queue];
+    ++record.runs;
+    const double weight = std::max(1.0 / record.runs, detail::newestWeight);
+    record.meanMilliseconds += weight * (static_cast<double>(ran.count()) - record.meanMilliseconds);
+}
+
+Duration RunEstimates::expected(const std::string &queue, const StepSpec &step) const
+{
+    const auto found = m_queues.find(queue);
+    if (found != m_queues.end() && found->second.runs >= detail::runsBeforeTrust) {
+        return std::max(Duration(1), Duration(static_cast<std::int64_t>(found->second.meanMilliseconds)));
+    }
+    return std::max(Duration(1), step.estimate);
+}
+
+Duration RunEstimates::chainFrom(const JobSpec &job, std::uint32_t step) const
+{
+    // Steps name only earlier ones, so one pass backwards sees every successor first.
+    std::vector<Duration> fromStep(job.steps.size(), Duration::zero());
+    for (std::size_t i = job.steps.size(); i-- > step;) {
+        fromStep[i] += expected(job.queue, job.steps[i]);
+        for (const std::uint32_t before : job.steps[i].after) {
+            fromStep[before] = std::max(fromStep[before], fromStep[i]);
+        }
+    }
+    return step < fromStep.size() ? fromStep[step] : Duration::zero();
+}
+
+Duration RunEstimates::chain(const JobSpec &job) const
+{
+    Duration longest{};
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        longest = std::max(longest, chainFrom(job, step));
+    }
+    return longest;
+}
+
+} // namespace heatherquay::state::batch
--- /dev/null
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -0,0 +1,536 @@
+#include "heatherquay/state/batch/scheduler.hpp"
+
+#include <algorithm>
+
+namespace heatherquay::state::batch
+{
+
+namespace detail
+{
+
+constexpr Duration stopVisibleMax{2'000}; // A stop that was answered but has no effect by then is sent again.
+
+bool mayExist(const Member &member)
+{
+    return member.phase != RunPhase::Gone && member.phase != RunPhase::Reserved && member.phase != RunPhase::Planned;
+}
+
+} // namespace detail
+
+Scheduler::Scheduler(SchedulerSettings settings)
+    : m_settings(settings)
+    , m_pool(settings.workers)
+{
+}
+
+void Scheduler::setQueues(std::map<std::string, QueuePolicy> queues)
+{
+    m_queues = std::move(queues);
+    for (auto &[id, job] : m_jobs) {
+        if (const auto found = m_queues.find(job.spec.queue); found != m_queues.end()) {
+            job.policy = found->second;
+        }
+    }
+}
+
+void Scheduler::setGuarantees(const std::vector<TeamGuarantee> &guarantees)
+{
+    m_guarantees.clear();
+    for (const TeamGuarantee &guarantee : guarantees) {
+        m_guarantees[guarantee.team] = guarantee.accelerators;
+    }
+}
+
+void Scheduler::submit(const JobSpec &spec, Instant now)
+{
+    const auto [position, added] = m_jobs.try_emplace(spec.id);
+    if (!added) {
+        return;
+    }
+    Job &job = position->second;
+    job.spec = spec;
+    const auto queue = m_queues.find(spec.queue);
+    job.policy = queue == m_queues.end() ? spec.policy : queue->second;
+    if (spec.repetitions == 0) {
+        openOccurrence(job, 0, spec.acceptedAt, now);
+    }
+}
+
+void Scheduler::cancel(const JobId &id, Instant now)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && !isFinal(found->second.state)) {
+        endJob(found->second, JobState::Cancelled, now);
+    }
+}
+
+Occurrence &Scheduler::openOccurrence(Job &job, std::uint32_t number, Instant dueAt, Instant now)
+{
+    const auto [position, added] = job.occurrences.try_emplace(number);
+    Occurrence &occurrence = position->second;
+    if (!added) {
+        return occurrence;
+    }
+    occurrence.number = number;
+    occurrence.dueAt = dueAt;
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        const StepSpec &spec = job.spec.steps[step];
+        const std::uint32_t units = spec.gang ? std::min(spec.taskCount, 1U) : spec.taskCount;
+        occurrence.unitsLeft.push_back(units);
+        for (std::uint32_t i = 0; i < units; ++i) {
+            Unit &unit = occurrence.units.emplace_back();
+            unit.step = step;
+            unit.first = i;
+            unit.waitingSince = now;
+        }
+    }
+    return occurrence;
+}
+
+void Scheduler::restore(const OccurrenceRecord &record, Instant now, Instant leaseUntil)
+{
+    const auto found = m_jobs.find(record.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    Job &job = found->second;
+    const Instant dueAt
+        = job.spec.repetitions == 0 ? job.spec.acceptedAt : job.spec.firstRun + job.spec.interval * record.occurrence;
+    Occurrence &occurrence = openOccurrence(job, record.occurrence, dueAt, now);
+    for (const UnitRecord &recorded : record.units) {
+        const std::uint32_t index = unitIndex(job, recorded.step, recorded.first);
+        if (recorded.step >= job.spec.steps.size() || index >= occurrence.units.size()) {
+            continue;
+        }
+        Unit &unit = occurrence.units[index];
+        unit.run = recorded.run;
+        unit.failures = recorded.failures;
+        unit.checkpoint = recorded.checkpoint;
+        if (recorded.done) {
+            finishUnit(job, occurrence, unit);
+        }
+        if (recorded.run > 0 && job.state == JobState::Queued) {
+            job.state = JobState::Running;
+        }
+        for (const WorkerId &id : recorded.workers) {
+            Member &member = unit.members.emplace_back();
+            member.worker = id;
+            member.phase = RunPhase::Running;
+            member.progressAt = now;
+            member.startedAt = now;
+            Worker &worker = m_pool.require(id, leaseUntil);
+            worker.used += claimOf(job, unit);
+            ++worker.runs;
+            if (job.policy.priority == 0) {
+                m_urgentAccelerators[job.spec.team] += claimOf(job, unit).accelerators;
+            }
+            const auto position = static_cast<std::uint32_t>(unit.members.size() - 1);
+            m_runsOn[id].insert({record.job, record.occurrence, index, position});
+        }
+        unit.startedAt = now;
+    }
+    occurrence.changed = false;
+}
+
+void Scheduler::registerWorker(const WorkerSpec &spec, Instant now, Instant leaseUntil)
+{
+    if (!m_pool.registerWorker(spec, leaseUntil)) {
+        return;
+    }
+    // All runs of the earlier incarnation are gone, but an unanswered start may still reach the new one.
+    const std::set<RunRef> runs = m_runsOn[spec.id];
+    for (const RunRef &ref : runs) {
+        const Located run = locate(ref);
+        Member &member = *run.member;
+        const bool unanswered = member.phase == RunPhase::Ordered || member.phase == RunPhase::Uncertain;
+        if (unanswered) {
+            member.phase = RunPhase::Uncertain;
+            member.incarnation = spec.incarnation;
+            member.stopAnswered = false;
+        } else if (member.phase == RunPhase::Running) {
+            releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+        }
+        if (detail::mayExist(member) || member.phase == RunPhase::Gone) {
+            abandon(*run.unit);
+        }
+        run.occurrence->changed = true;
+    }
+    m_pool.find(spec.id)->heardAt = now;
+}
+
+void Scheduler::unregisterWorker(const WorkerId &id)
+{
+    m_pool.unregister(id);
+    m_pool.forget(id);
+}
+
+void Scheduler::workerSilent(const WorkerId &id)
+{
+    if (Worker *worker = m_pool.find(id)) {
+        worker->silent = true;
+    }
+}
+
+void Scheduler::leaseExtended(const WorkerId &id, Instant until)
+{
+    if (Worker *worker = m_pool.find(id)) {
+        worker->leaseUntil = std::max(worker->leaseUntil, until);
+    }
+}
+
+bool Scheduler::needsLook(const WorkerId &id) const
+{
+    const Worker *worker = m_pool.find(id);
+    return worker != nullptr && (worker->runs > 0 || !worker->fenced || worker->silent);
+}
+
+void Scheduler::workerAnswered(const WorkerId &id, const WorkerReport &report, Instant now)
+{
+    Worker *worker = m_pool.find(id);
+    if (worker == nullptr || report.incarnation < worker->spec.incarnation) {
+        return;
+    }
+    if (report.incarnation != worker->spec.incarnation) {
+        WorkerSpec reborn = worker->spec;
+        reborn.incarnation = report.incarnation;
+        const bool registered = worker->registered;
+        registerWorker(reborn, now, worker->leaseUntil);
+        worker->registered = registered;
+    }
+    m_pool.noteAnswer(*worker, now);
+    std::map<std::pair<TaskId, std::uint32_t>, const RunningReport *> running;
+    for (const RunningReport &entry : report.running) {
+        running[{entry.task, entry.run}] = &entry;
+    }
+    std::map<std::pair<TaskId, std::uint32_t>, const EndReport *> ended;
+    for (const EndReport &entry : report.ended) {
+        ended[{entry.task, entry.run}] = &entry;
+    }
+    const std::set<RunRef> runs = m_runsOn[id];
+    for (const RunRef &ref : runs) {
+        Located run = locate(ref);
+        Member &member = *run.member;
+        if (!detail::mayExist(member)) {
+            continue;
+        }
+        const std::pair key{taskOf(*run.job, *run.occurrence, *run.unit, ref.member), run.unit->run};
+        if (const auto end = ended.find(key); end != ended.end()) {
+            noteEnd(run, *end->second, now);
+            running.erase(key);
+            continue;
+        }
+        if (const auto alive = running.find(key); alive != running.end()) {
+            const RunningReport &entry = *alive->second;
+            if (member.phase != RunPhase::Running) {
+                member.phase = RunPhase::Running;
+                member.startedAt = now;
+                member.progressAt = now;
+            }
+            member.incarnation = report.incarnation;
+            if (entry.percent != member.percent) {
+                member.percent = entry.percent;
+                member.progressAt = now;
+            }
+            if (!entry.checkpoint.empty()) {
+                run.unit->checkpoint = entry.checkpoint;
+            }
+            if (member.stopAnswered && report.askedAt >= member.settledAt + detail::stopVisibleMax) {
+                member.stopAnswered = false;
+            }
+            running.erase(alive);
+            continue;
+        }
+        const bool settled = member.phase == RunPhase::Running || member.stopAnswered;
+        if (settled && report.askedAt >= member.settledAt) {
+            // Neither running nor ended: the order never took effect, or its end was confirmed under a predecessor.
+            releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+            abandon(*run.unit);
+            run.occurrence->changed = true;
+        }
+    }
+    for (const auto &[key, entry] : running) {
+        auto &[where, stoppedAt] = m_orphans[key];
+        where = id;
+        if (now >= stoppedAt + m_settings.stopRetry) {
+            stoppedAt = now;
+            m_orphanStops.push_back({key.first, key.second, id});
+        }
+    }
+}
+
+void Scheduler::noteEnd(Located &run, const EndReport &end, Instant now)
+{
+    Unit &unit = *run.unit;
+    const StepSpec &step = stepOf(*run.job, unit);
+    Member &member = *run.member;
+    run.occurrence->changed = true;
+    if (!end.checkpoint.empty()) {
+        unit.checkpoint = end.checkpoint;
+    }
+    Worker *worker = m_pool.find(member.worker);
+    const auto position = static_cast<std::size_t>(&member - unit.members.data());
+    if (end.kind == EndKind::Done && !step.perpetual) {
+        if (!unit.done) {
+            const Duration ran = now - member.startedAt;
+            const Duration expected = m_estimates.expected(run.job->spec.queue, step);
+            if (worker != nullptr && ran.count() > 0 && !step.gang) {
+                constexpr double newestWeight = 0.3; // Speeds change within seconds; three runs settle them.
+                const double ratio = static_cast<double>(ran.count()) / static_cast<double>(expected.count());
+                worker->slowness += newestWeight * (std::clamp(ratio, 0.2, 10.0) - worker->slowness);
+            }
+            m_estimates.learn(run.job->spec.queue, ran);
+            finishUnit(*run.job, *run.occurrence, unit);
+        }
+        if (worker != nullptr) {
+            m_pool.noteSuccess(*worker);
+        }
+        releaseMember(*run.job, *run.occurrence, unit, position);
+        return;
+    }
+    if (end.kind == EndKind::Failed) {
+        if (!unit.failureCounted) {
+            ++unit.failures;
+            unit.failureCounted = true;
+        }
+        unit.avoided = member.worker;
+        if (worker != nullptr) {
+            m_pool.noteFailure(*worker, now);
+        }
+    }
+    releaseMember(*run.job, *run.occurrence, unit, position);
+    if (!unit.done) {
+        abandon(unit);
+    }
+}
+
+void Scheduler::finishUnit(Job &job, Occurrence &occurrence, Unit &unit)
+{
+    unit.done = true;
+    occurrence.changed = true;
+    --occurrence.unitsLeft[unit.step];
+    const bool finished = std::all_of(occurrence.unitsLeft.begin(), occurrence.unitsLeft.end(), [](std::uint32_t left) {
+        return left == 0;
+    });
+    if (!finished || occurrence.finished) {
+        return;
+    }
+    occurrence.finished = true;
+    ++job.occurrencesFinished;
+    if (job.occurrencesFinished >= std::max(job.spec.repetitions, 1U) && !isFinal(job.state)) {
+        job.state = JobState::Completed;
+        job.statusChanged = true;
+    }
+}
+
+void Scheduler::endJob(Job &job, JobState state, Instant)
+{
+    job.state = state;
+    job.statusChanged = true;
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (Unit &unit : occurrence.units) {
+            if (!unit.members.empty()) {
+                abandon(unit);
+                occurrence.changed = true;
+            }
+        }
+    }
+}
+
+void Scheduler::abandon(Unit &unit)
+{
+    unit.abandoned = true;
+    for (Member &member : unit.members) {
+        if (detail::mayExist(member)) {
+            member.stopWanted = true;
+        }
+    }
+}
+
+void Scheduler::releaseMember(const Job &job, const Occurrence &occurrence, Unit &unit, std::size_t position)
+{
+    Member &member = unit.members[position];
+    if (member.phase == RunPhase::Gone) {
+        return;
+    }
+    member.phase = RunPhase::Gone;
+    if (job.policy.priority == 0) {
+        m_urgentAccelerators[job.spec.team] -= claimOf(job, unit).accelerators;
+    }
+    const auto unitPosition = static_cast<std::uint32_t>(&unit - occurrence.units.data());
+    m_runsOn[member.worker].erase({job.spec.id, occurrence.number, unitPosition, static_cast<std::uint32_t>(position)});
+    if (Worker *worker = m_pool.find(member.worker)) {
+        worker->used -= claimOf(job, unit);
+        --worker->runs;
+        m_pool.forget(member.worker);
+    }
+}
+
+bool Scheduler::beginStart(const TaskId &task, std::uint32_t run)
+{
+    const Located located = locate(task, run);
+    if (located.member == nullptr || located.unit->abandoned || located.unit->done) {
+        return false;
+    }
+    Member &member = *located.member;
+    if (member.phase != RunPhase::Planned && member.phase != RunPhase::Ordered) {
+        return false;
+    }
+    member.phase = RunPhase::Ordered;
+    ++member.startTries;
+    return true;
+}
+
+void Scheduler::startAnswered(const TaskId &task, std::uint32_t run, StartOutcome outcome, Instant now)
+{
+    const Located located = locate(task, run);
+    if (located.member == nullptr || located.member->phase != RunPhase::Ordered) {
+        return;
+    }
+    Member &member = *located.member;
+    member.settledAt = now;
+    switch (outcome) {
+    case StartOutcome::Started:
+        member.phase = RunPhase::Running;
+        member.startedAt = now;
+        member.progressAt = now;
+        return;
+    case StartOutcome::Unknown:
+        member.phase = RunPhase::Uncertain;
+        if (member.startTries >= m_settings.startTries) {
+            abandon(*located.unit);
+        }
+        return;
+    case StartOutcome::NoRoom:
+        if (Worker *worker = m_pool.find(member.worker)) {
+            m_pool.pause(*worker, now, m_settings.workers.roomRefusalPause);
+        }
+        break;
+    case StartOutcome::Refused:
+        located.unit->avoided = member.worker;
+        if (Worker *worker = m_pool.find(member.worker)) {
+            m_pool.noteFailure(*worker, now);
+        }
+        break;
+    }
+    located.occurrence->changed = true;
+    const auto position = static_cast<std::size_t>(&member - located.unit->members.data());
+    releaseMember(*located.job, *located.occurrence, *located.unit, position);
+    abandon(*located.unit);
+}
+
+void Scheduler::stopAnswered(const TaskId &task, std::uint32_t run, Instant now)
+{
+    const Located located = locate(task, run);
+    if (located.member == nullptr) {
+        return;
+    }
+    located.member->stopAnswered = true;
+    located.member->settledAt = now;
+}
+
+Decision Scheduler::decide(Instant now, Instant wall)
+{
+    Decision decision;
+    openDueOccurrences(now, wall);
+    endLapsedRuns(now);
+    giveUpHungRuns(decision, now);
+    closeRuns(now);
+    startReserved(decision);
+    place(decision, now, wall);
+    emitOrders(decision, now);
+    collectRecords(decision);
+    return decision;
+}
+
+void Scheduler::recordAgain(const Decision &lost)
+{
+    for (const OccurrenceRecord &record : lost.records) {
+        if (const auto job = m_jobs.find(record.job); job != m_jobs.end()) {
+            if (const auto found = job->second.occurrences.find(record.occurrence);
+                found != job->second.occurrences.end()) {
+                found->second.changed = true;
+            }
+        }
+    }
+    for (const JobStatus &status : lost.statuses) {
+        if (const auto job = m_jobs.find(status.job); job != m_jobs.end()) {
+            job->second.statusChanged = true;
+        }
+    }
+}
+
+std::map<std::string, QueueView> Scheduler::queues() const
+{
+    std::map<std::string, QueueView> views;
+    for (const auto &[id, job] : m_jobs) {
+        QueueView &view = views[job.spec.queue];
+        view.waitingJobs += job.state == JobState::Queued ? 1 : 0;
+        view.runningJobs += job.state == JobState::Running ? 1 : 0;
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (const Unit &unit : occurrence.units) {
+                const bool waits = unit.waiting() && !isFinal(job.state);
+                view.waitingUnits += waits && turnHasCome(job, occurrence, unit.step) ? 1 : 0;
+            }
+        }
+    }
+    return views;
+}
+
+const StepSpec &Scheduler::stepOf(const Job &job, const Unit &unit) const
+{
+    return job.spec.steps[unit.step];
+}
+
+Resources Scheduler::claimOf(const Job &job, const Unit &unit) const
+{
+    return batch::claimOf(stepOf(job, unit));
+}
+
+TaskId Scheduler::taskOf(const Job &job, const Occurrence &occurrence, const Unit &unit, std::size_t member)
+{
+    return {job.spec.id, occurrence.number, unit.step, unit.first + static_cast<std::uint32_t>(member)};
+}
+
+std::uint32_t Scheduler::unitIndex(const Job &job, std::uint32_t step, std::uint32_t index)
+{
+    std::uint32_t position = 0;
+    for (std::uint32_t i = 0; i < step && i < job.spec.steps.size(); ++i) {
+        const StepSpec &before = job.spec.steps[i];
+        position += before.gang ? std::min(before.taskCount, 1U) : before.taskCount;
+    }
+    const bool gang = step < job.spec.steps.size() && job.spec.steps[step].gang;
+    return gang ? position : position + index;
+}
+
+Scheduler::Located Scheduler::locate(const TaskId &task, std::uint32_t run)
+{
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || task.step >= job->second.spec.steps.size()
+        || task.index >= job->second.spec.steps[task.step].taskCount) {
+        return {};
+    }
+    const auto occurrence = job->second.occurrences.find(task.occurrence);
+    if (occurrence == job->second.occurrences.end()) {
+        return {};
+    }
+    const std::uint32_t position = unitIndex(job->second, task.step, task.index);
+    if (position >= occurrence->second.units.size()) {
+        return {};
+    }
+    Unit &unit = occurrence->second.units[position];
+    const std::uint32_t member = task.index - unit.first;
+    if (unit.run != run || member >= unit.members.size()) {
+        return {};
+    }
+    return {&job->second, &occurrence->second, &unit, &unit.members[member]};
+}
+
+Scheduler::Located Scheduler::locate(const RunRef &ref)
+{
+    Job &job = m_jobs.at(ref.job);
+    Occurrence &occurrence = job.occurrences.at(ref.occurrence);
+    Unit &unit = occurrence.units.at(ref.unit);
+    return {&job, &occurrence, &unit, &unit.members.at(ref.member)};
+}
+
+} // namespace heatherquay::state::batch
--- /dev/null
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -0,0 +1,205 @@
+#pragma once
+
+#include "heatherquay/state/batch/placement.hpp"
+#include "heatherquay/state/batch/run_estimates.hpp"
+#include "heatherquay/state/batch/unit.hpp"
+#include "heatherquay/state/batch/worker_pool.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace heatherquay::state::batch
+{
+
+/// Limits of the scheduler.
+struct SchedulerSettings
+{
+    WorkerPoolSettings workers;
+    Duration stopRetry{
+        500}; ///< Until an unanswered stop is sent again; twice the time a healthy call takes under load.
+    Duration stillMax{5'000}; ///< A run without any progress for this long is taken for hung; slow runs move by then.
+    std::uint32_t startTries{3}; ///< Orders of one run before it is given up; two cover a lost answer and its retry.
+};
+
+/// Start one task; sent only after its record is stored.
+struct StartOrder
+{
+    TaskId task;
+    std::uint32_t run{};
+    WorkerId worker;
+    Incarnation incarnation;
+    std::string payload;
+    std::string checkpoint;
+};
+
+struct StopOrder
+{
+    TaskId task;
+    std::uint32_t run{};
+    WorkerId worker;
+};
+
+enum class StartOutcome
+{
+    Started,
+    Refused, ///< Certainly not started.
+    NoRoom, ///< Certainly not started; the worker holds more than the books say.
+    Unknown ///< The order may be carried out, also later.
+};
+
+/// Why room was taken from a run.
+struct Eviction
+{
+    TaskId victim; ///< First task of the unit.
+    JobId beneficiary;
+    double lostCoreSeconds{};
+};
+
+/// What one pass decided.
+struct Decision
+{
+    std::vector<OccurrenceRecord> records; ///< To be stored before the starts are ordered and ends are confirmed.
+    std::vector<JobStatus> statuses; ///< To be stored with the records.
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops; ///< Need no record.
+    std::vector<Eviction> evictions; ///< For the log.
+    std::vector<TaskId> hung; ///< Runs given up for want of progress, for the log.
+};
+
+/// What waits in a queue and why, for operators.
+struct QueueView
+{
+    std::uint32_t waitingJobs{}; ///< Without any started task.
+    std::uint32_t runningJobs{};
+    std::uint32_t waitingUnits{}; ///< Whose turn has come.
+};
+
+/// Decides which tasks run where. Deterministic: without clock, socket, thread or log. Answers for the load it is
+/// given: queues with priorities, guarantees of teams, gangs, racks and unreliable workers.
+class Scheduler
+{
+public:
+    explicit Scheduler(SchedulerSettings settings = {});
+
+    void setQueues(std::map<std::string, QueuePolicy> queues);
+    void setGuarantees(const std::vector<TeamGuarantee> &guarantees);
+
+    /// Takes in an accepted job. Known jobs are left alone.
+    void submit(const JobSpec &job, Instant now);
+    void cancel(const JobId &job, Instant now);
+    /// Takes in what was recorded for a submitted job before this scheduler began.
+    /// @param leaseUntil when runs on workers that do not answer have ended
+    void restore(const OccurrenceRecord &record, Instant now, Instant leaseUntil);
+
+    /// @param leaseUntil taken for a worker not seen before
+    void registerWorker(const WorkerSpec &worker, Instant now, Instant leaseUntil);
+    void unregisterWorker(const WorkerId &id);
+    void workerAnswered(const WorkerId &id, const WorkerReport &report, Instant now);
+    void workerSilent(const WorkerId &id);
+    /// Called before a call that may extend the worker's lease. @param until the latest time at which the lease ends
+    void leaseExtended(const WorkerId &id, Instant until);
+    /// @return whether a call to the worker is due: runs may exist there, or it has not answered this decider
+    bool needsLook(const WorkerId &id) const;
+
+    /// Asked right before a start is ordered. @return whether it is still wanted
+    bool beginStart(const TaskId &task, std::uint32_t run);
+    void startAnswered(const TaskId &task, std::uint32_t run, StartOutcome outcome, Instant now);
+    void stopAnswered(const TaskId &task, std::uint32_t run, Instant now);
+
+    /// One pass over all that changed. @param now steady @param wall time of day, for due times
+    Decision decide(Instant now, Instant wall);
+    /// Marks records for storing again after a store failure, so that the next decision holds them.
+    void recordAgain(const Decision &lost);
+
+    const WorkerPool &workers() const
+    {
+        return m_pool;
+    }
+    std::map<std::string, QueueView> queues() const;
+    std::size_t liveJobs() const
+    {
+        return m_jobs.size();
+    }
+
+private:
+    struct RunRef
+    {
+        JobId job;
+        std::uint32_t occurrence{};
+        std::uint32_t unit{};
+        std::uint32_t member{};
+
+        friend auto operator<=>(const RunRef &, const RunRef &) = default; // NOLINT(modernize-use-nullptr)
+    };
+    struct Located
+    {
+        Job *job{};
+        Occurrence *occurrence{};
+        Unit *unit{};
+        Member *member{};
+    };
+    struct ReadyStep
+    {
+        Job *job{};
+        Occurrence *occurrence{};
+        std::uint32_t step{};
+        std::vector<Unit *> units;
+        std::uint32_t priority{};
+        int lateness{}; ///< 0 can still be on time, 1 late, 2 earns nothing more.
+        Instant latestStart;
+    };
+
+    Located locate(const TaskId &task, std::uint32_t run);
+    Located locate(const RunRef &ref);
+    const StepSpec &stepOf(const Job &job, const Unit &unit) const;
+    Resources claimOf(const Job &job, const Unit &unit) const;
+    static TaskId taskOf(const Job &job, const Occurrence &occurrence, const Unit &unit, std::size_t member);
+    static std::uint32_t unitIndex(const Job &job, std::uint32_t step, std::uint32_t index);
+    Occurrence &openOccurrence(Job &job, std::uint32_t number, Instant dueAt, Instant now);
+
+    void openDueOccurrences(Instant now, Instant wall);
+    void endLapsedRuns(Instant now);
+    void giveUpHungRuns(Decision &decision, Instant now);
+    void closeRuns(Instant now);
+    /// @return whether the job has ended, nothing of it runs, and all about it has been handed out for storing
+    static bool isOver(const Job &job);
+    void closeRun(Job &job, Occurrence &occurrence, Unit &unit, Instant now);
+    void finishUnit(Job &job, Occurrence &occurrence, Unit &unit);
+    void endJob(Job &job, JobState state, Instant now);
+    void abandon(Unit &unit);
+    void releaseMember(const Job &job, const Occurrence &occurrence, Unit &unit, std::size_t member);
+    void noteEnd(Located &run, const EndReport &end, Instant now);
+
+    void startReserved(Decision &decision);
+    void place(Decision &decision, Instant now, Instant wall);
+    std::vector<ReadyStep> readySteps(Instant wall);
+    bool turnHasCome(const Job &job, const Occurrence &occurrence, std::uint32_t step) const;
+    bool placeStep(const ReadyStep &ready, Decision &decision, Instant now);
+    bool reclaim(const ReadyStep &ready, Decision &decision, Instant now);
+    bool withinGuarantee(const Job &job, const StepSpec &step, std::size_t tasks) const;
+    double lossOf(const Job &job, const Unit &unit, Instant now) const;
+    void assign(Job &job, Occurrence &occurrence, Unit &unit, const std::vector<WorkerId> &chosen, RunPhase phase,
+                Instant now);
+    void plan(Job &job, Occurrence &occurrence, Unit &unit, Decision &decision);
+    PlacementRequest requestFor(const Job &job, const Occurrence &occurrence, const StepSpec &step,
+                                std::uint32_t tasks) const;
+    void emitOrders(Decision &decision, Instant now);
+    void collectRecords(Decision &decision);
+
+    SchedulerSettings m_settings;
+    std::map<std::string, QueuePolicy> m_queues;
+    std::map<TeamId, std::int64_t> m_guarantees;
+    std::map<TeamId, std::int64_t> m_urgentAccelerators; ///< Held by jobs of priority 0, by team.
+    WorkerPool m_pool;
+    RunEstimates m_estimates;
+    std::map<JobId, Job> m_jobs;
+    std::map<WorkerId, std::set<RunRef>> m_runsOn;
+    std::map<std::pair<TaskId, std::uint32_t>, std::pair<WorkerId, Instant>> m_orphans; ///< Runs without a record.
+    std::vector<StopOrder> m_orphanStops;
+};
+
+} // namespace heatherquay::state::batch
--- /dev/null
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -0,0 +1,274 @@
+#include "heatherquay/state/batch/scheduler.hpp"
+
+#include <algorithm>
+
+namespace heatherquay::state::batch
+{
+
+namespace detail
+{
+
+constexpr std::uint32_t percentDone = 100;
+
+} // namespace detail
+
+void Scheduler::openDueOccurrences(Instant now, Instant wall)
+{
+    for (auto &[id, job] : m_jobs) {
+        if (isFinal(job.state)) {
+            continue;
+        }
+        while (job.occurrencesOpened < job.spec.repetitions) {
+            const Instant dueAt = job.spec.firstRun + job.spec.interval * job.occurrencesOpened;
+            if (dueAt > wall) {
+                break;
+            }
+            openOccurrence(job, job.occurrencesOpened, dueAt, now);
+            ++job.occurrencesOpened;
+        }
+    }
+}
+
+void Scheduler::endLapsedRuns(Instant now)
+{
+    for (auto &[id, worker] : m_pool.all()) {
+        const bool unheard = worker.silent || !worker.fenced;
+        if (worker.runs == 0 || !unheard || now < worker.leaseUntil) {
+            continue;
+        }
+        const std::set<RunRef> runs = m_runsOn[id];
+        for (const RunRef &ref : runs) {
+            const Located run = locate(ref);
+            abandon(*run.unit);
+            releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+            run.occurrence->changed = true;
+        }
+        break; // Releasing the last run may have dropped the worker; the next pass goes on.
+    }
+}
+
+void Scheduler::giveUpHungRuns(Decision &decision, Instant now)
+{
+    for (auto &[id, runs] : m_runsOn) {
+        const Worker *worker = m_pool.find(id);
+        if (worker == nullptr || worker->silent || !worker->fenced) {
+            continue;
+        }
+        for (const RunRef &ref : runs) {
+            const Located run = locate(ref);
+            const Member &member = *run.member;
+            // A member of a gang that has done its work waits for the others.
+            const bool judged = member.phase == RunPhase::Running && !run.unit->abandoned && !run.unit->done
+                && member.percent < detail::percentDone;
+            if (!judged || stepOf(*run.job, *run.unit).perpetual || now - member.progressAt < m_settings.stillMax) {
+                continue;
+            }
+            decision.hung.push_back(taskOf(*run.job, *run.occurrence, *run.unit, ref.member));
+            run.unit->avoided = id;
+            abandon(*run.unit);
+        }
+    }
+    for (const TaskId &task : decision.hung) {
+        const auto &unit = m_jobs.at(task.job)
+                               .occurrences.at(task.occurrence)
+                               .units.at(unitIndex(m_jobs.at(task.job), task.step, task.index));
+        if (Worker *worker = m_pool.find(unit.avoided)) {
+            m_pool.noteFailure(*worker, now);
+        }
+    }
+}
+
+void Scheduler::closeRuns(Instant now)
+{
+    for (auto &[id, job] : m_jobs) {
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (Unit &unit : occurrence.units) {
+                if (!unit.members.empty()) {
+                    closeRun(job, occurrence, unit, now);
+                }
+            }
+        }
+    }
+}
+
+void Scheduler::closeRun(Job &job, Occurrence &occurrence, Unit &unit, Instant now)
+{
+    if (unit.abandoned) {
+        for (std::size_t i = 0; i < unit.members.size(); ++i) {
+            const RunPhase phase = unit.members[i].phase;
+            if (phase == RunPhase::Reserved || phase == RunPhase::Planned) {
+                releaseMember(job, occurrence, unit, i);
+            }
+        }
+    }
+    const bool over = std::all_of(unit.members.begin(), unit.members.end(), [](const Member &member) {
+        return member.phase == RunPhase::Gone;
+    });
+    if (!over) {
+        return;
+    }
+    unit.members.clear();
+    unit.abandoned = false;
+    unit.waitingSince = now;
+    occurrence.changed = true;
+    const bool spent = !unit.done && unit.failures >= job.policy.attemptsMax && !stepOf(job, unit).perpetual;
+    if (spent && !isFinal(job.state)) {
+        endJob(job, JobState::Failed, now);
+    }
+}
+
+void Scheduler::startReserved(Decision &decision)
+{
+    for (auto &[id, job] : m_jobs) {
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (Unit &unit : occurrence.units) {
+                if (unit.members.empty() || unit.members.front().phase != RunPhase::Reserved) {
+                    continue;
+                }
+                bool ready = true;
+                for (const Member &member : unit.members) {
+                    const Worker *worker = m_pool.find(member.worker);
+                    if (worker == nullptr || worker->spec.draining || worker->silent) {
+                        abandon(unit);
+                        ready = false;
+                        break;
+                    }
+                    ready = ready && worker->used.fitsIn(worker->spec.capacity);
+                }
+                if (ready && !unit.abandoned) {
+                    plan(job, occurrence, unit, decision);
+                }
+            }
+        }
+    }
+}
+
+void Scheduler::assign(Job &job, Occurrence &occurrence, Unit &unit, const std::vector<WorkerId> &chosen,
+                       RunPhase phase, Instant now)
+{
+    const auto position = static_cast<std::uint32_t>(&unit - occurrence.units.data());
+    for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+        Member &member = unit.members.emplace_back();
+        Worker &worker = *m_pool.find(chosen[i]);
+        member.worker = chosen[i];
+        member.incarnation = worker.spec.incarnation;
+        member.phase = phase;
+        member.progressAt = now;
+        worker.used += claimOf(job, unit);
+        ++worker.runs;
+        m_runsOn[chosen[i]].insert({job.spec.id, occurrence.number, position, i});
+    }
+    if (job.policy.priority == 0) {
+        m_urgentAccelerators[job.spec.team]
+            += claimOf(job, unit).accelerators * static_cast<std::int64_t>(chosen.size());
+    }
+    unit.startedAt = now;
+    unit.abandoned = false;
+}
+
+void Scheduler::plan(Job &job, Occurrence &occurrence, Unit &unit, Decision &decision)
+{
+    ++unit.run;
+    unit.failureCounted = false;
+    occurrence.changed = true;
+    if (job.state == JobState::Queued) {
+        job.state = JobState::Running;
+        job.statusChanged = true;
+    }
+    for (std::size_t i = 0; i < unit.members.size(); ++i) {
+        Member &member = unit.members[i];
+        member.phase = RunPhase::Planned;
+        decision.starts.push_back({taskOf(job, occurrence, unit, i), unit.run, member.worker, member.incarnation,
+                                   job.spec.payload, unit.checkpoint});
+    }
+}
+
+void Scheduler::emitOrders(Decision &decision, Instant now)
+{
+    decision.stops = std::move(m_orphanStops);
+    m_orphanStops.clear();
+    std::erase_if(m_orphans, [&](const auto &entry) {
+        return now > entry.second.second + m_settings.stopRetry * 4;
+    });
+    for (auto &[id, runs] : m_runsOn) {
+        for (const RunRef &ref : runs) {
+            const Located run = locate(ref);
+            Member &member = *run.member;
+            const TaskId task = taskOf(*run.job, *run.occurrence, *run.unit, ref.member);
+            const bool stopDue = member.stopWanted && !member.stopAnswered && member.phase != RunPhase::Planned
+                && member.phase != RunPhase::Reserved
+                && (member.stopSentAt == Instant{} || now >= member.stopSentAt + m_settings.stopRetry);
+            if (stopDue) {
+                member.stopSentAt = now;
+                decision.stops.push_back({task, run.unit->run, id});
+            }
+            // The same order again is harmless: a worker starts a run once.
+            const bool retryDue = member.phase == RunPhase::Uncertain && !member.stopWanted
+                && member.startTries < m_settings.startTries && now >= member.settledAt + m_settings.stopRetry / 2;
+            if (retryDue) {
+                member.phase = RunPhase::Ordered;
+                decision.starts.push_back(
+                    {task, run.unit->run, id, member.incarnation, run.job->spec.payload, run.unit->checkpoint});
+            }
+        }
+    }
+}
+
+bool Scheduler::isOver(const Job &job)
+{
+    if (!isFinal(job.state) || job.statusChanged) {
+        return false;
+    }
+    for (const auto &[number, occurrence] : job.occurrences) {
+        if (occurrence.changed) {
+            return false;
+        }
+        for (const Unit &unit : occurrence.units) {
+            if (!unit.members.empty()) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+void Scheduler::collectRecords(Decision &decision)
+{
+    for (auto position = m_jobs.begin(); position != m_jobs.end();) {
+        Job &job = position->second;
+        // Only once the records of earlier passes are stored: a failed store marks them as changed again.
+        if (isOver(job)) {
+            position = m_jobs.erase(position);
+            continue;
+        }
+        for (auto &[number, occurrence] : job.occurrences) {
+            if (!occurrence.changed) {
+                continue;
+            }
+            occurrence.changed = false;
+            OccurrenceRecord &record = decision.records.emplace_back();
+            record.job = job.spec.id;
+            record.occurrence = number;
+            for (const Unit &unit : occurrence.units) {
+                if (unit.run == 0) {
+                    continue;
+                }
+                UnitRecord &recorded = record.units.emplace_back();
+                recorded = {unit.step, unit.first, unit.run, unit.failures, unit.done, unit.checkpoint, {}};
+                const bool runs = std::any_of(unit.members.begin(), unit.members.end(), [](const Member &member) {
+                    return member.phase != RunPhase::Gone && member.phase != RunPhase::Reserved;
+                });
+                for (std::size_t i = 0; runs && i < unit.members.size(); ++i) {
+                    recorded.workers.push_back(unit.members[i].worker);
+                }
+            }
+        }
+        if (job.statusChanged) {
+            job.statusChanged = false;
+            decision.statuses.push_back({job.spec.id, job.spec.queue, job.state});
+        }
+        ++position;
+    }
+}
+
+} // namespace heatherquay::state::batch
--- /dev/null
+++ b/src/heatherquay/state/batch/worker_pool.cpp
@@ -0,0 +1,110 @@
+#include "heatherquay/state/batch/worker_pool.hpp"
+
+#include <algorithm>
+
+namespace heatherquay::state::batch
+{
+
+bool Worker::hasLabel(const std::string &label) const
+{
+    return std::find(spec.labels.begin(), spec.labels.end(), label) != spec.labels.end();
+}
+
+WorkerPool::WorkerPool(WorkerPoolSettings settings)
+    : m_settings(settings)
+{
+}
+
+bool WorkerPool::registerWorker(const WorkerSpec &spec, Instant leaseUntil)
+{
+    Worker &worker = require(spec.id, leaseUntil);
+    const Incarnation before = worker.spec.incarnation;
+    // A registration may be older than the worker's own answers, or leave the incarnation out.
+    const bool reborn = before.value != 0 && before < spec.incarnation;
+    if (reborn) {
+        worker.fenced = false;
+        worker.failuresInRow = 0;
+        worker.quarantine = Duration::zero();
+        worker.quarantinedUntil = {};
+        worker.slowness = 1;
+    }
+    worker.spec = spec;
+    worker.spec.incarnation = std::max(before, spec.incarnation);
+    worker.registered = true;
+    return reborn;
+}
+
+void WorkerPool::unregister(const WorkerId &id)
+{
+    if (Worker *worker = find(id)) {
+        worker->registered = false;
+    }
+}
+
+Worker &WorkerPool::require(const WorkerId &id, Instant leaseUntil)
+{
+    const auto [position, added] = m_workers.try_emplace(id);
+    if (added) {
+        position->second.spec.id = id;
+        position->second.leaseUntil = leaseUntil;
+    }
+    return position->second;
+}
+
+Worker *WorkerPool::find(const WorkerId &id)
+{
+    const auto position = m_workers.find(id);
+    return position == m_workers.end() ? nullptr : &position->second;
+}
+
+const Worker *WorkerPool::find(const WorkerId &id) const
+{
+    const auto position = m_workers.find(id);
+    return position == m_workers.end() ? nullptr : &position->second;
+}
+
+void WorkerPool::forget(const WorkerId &id)
+{
+    const Worker *worker = find(id);
+    if (worker != nullptr && !worker->registered && worker->runs == 0) {
+        m_workers.erase(id);
+    }
+}
+
+void WorkerPool::noteAnswer(Worker &worker, Instant now)
+{
+    worker.heardAt = now;
+    worker.silent = false;
+    worker.fenced = true;
+}
+
+void WorkerPool::noteSuccess(Worker &worker)
+{
+    worker.failuresInRow = 0;
+    worker.quarantine = Duration::zero();
+}
+
+void WorkerPool::noteFailure(Worker &worker, Instant now)
+{
+    if (++worker.failuresInRow < m_settings.failureStreak) {
+        return;
+    }
+    worker.quarantine = worker.quarantine.count() == 0 ? m_settings.quarantineFirst
+                                                       : std::min(worker.quarantine * 2, m_settings.quarantineMax);
+    // After the quarantine a single further failure is enough.
+    worker.failuresInRow = m_settings.failureStreak - 1;
+    pause(worker, now, worker.quarantine);
+}
+
+void WorkerPool::pause(Worker &worker, Instant now, Duration pause)
+{
+    worker.quarantinedUntil = std::max(worker.quarantinedUntil, now + pause);
+}
+
+bool WorkerPool::accepts(const Worker &worker, Instant now) const
+{
+    return worker.registered && worker.fenced && !worker.spec.draining && !worker.silent
+        && now >= worker.quarantinedUntil;
+}
+
+} // namespace heatherquay::state::batch
--- a/src/heatherquay/transport/http_client.cpp
+++ b/src/heatherquay/transport/http_client.cpp
@@ -287,6 +287,10 @@
     } catch (const Error &error) {
         result.failure = error.what();
     }
+    if (result.timedOut) {
+        // What silenced this connection may have silenced the idle ones too, and they would only tell by timing out.
+        idle.clear();
+    }
     if (connection && connection->reusable()) {
         idle.push_back(std::move(connection));
     }
--- /dev/null
+++ b/tests/batch/memory_store.cpp
@@ -0,0 +1,147 @@
+#include "batch/memory_store.hpp"
+
+namespace heatherquay::test
+{
+
+using protocol::CommitStatus;
+using namespace protocol::batch;
+
+namespace detail
+{
+
+constexpr std::chrono::milliseconds callTime{1};
+constexpr std::chrono::milliseconds feedCheck{2};
+
+} // namespace detail
+
+RowCommit MemoryStore::apply(const RowTransaction &transaction)
+{
+    RowCommit commit;
+    for (const RowCondition &condition : transaction.conditions) {
+        const auto found = m_rows.find(condition.key);
+        const std::uint64_t version = found == m_rows.end() ? 0 : found->second.version;
+        if (version != condition.version) {
+            commit.status = CommitStatus::Conflict;
+        }
+    }
+    if (commit.status == CommitStatus::Conflict) {
+        for (const RowCondition &condition : transaction.conditions) {
+            if (const auto found = m_rows.find(condition.key); found != m_rows.end()) {
+                commit.current.push_back(found->second);
+            }
+        }
+        return commit;
+    }
+    ++m_version;
+    for (const RowPut &put : transaction.puts) {
+        m_rows[put.key] = {put.key, put.value, m_version, false};
+        m_changes.push_back({m_rows[put.key]});
+    }
+    for (const RowKey &key : transaction.removals) {
+        if (m_rows.erase(key) > 0) {
+            m_changes.push_back({{key, {}, m_version, true}});
+        }
+    }
+    commit.status = CommitStatus::Committed;
+    commit.version = m_version;
+    return commit;
+}
+
+boost::asio::awaitable<RowCommit> MemoryStore::transact(RowTransaction transaction, std::chrono::milliseconds)
+{
+    ++transactions;
+    co_await protocol::waitFor(detail::callTime);
+    RowCommit lost;
+    lost.failure = "no answer";
+    if (down) {
+        lost.status = CommitStatus::NotCommitted;
+        co_return lost;
+    }
+    lost.status = CommitStatus::Unknown;
+    if (loseAnswers > 0) {
+        --loseAnswers;
+        apply(transaction);
+        co_return lost;
+    }
+    if (applyLate > 0) {
+        --applyLate;
+        m_kept.push_back(std::move(transaction));
+        co_return lost;
+    }
+    co_return apply(transaction);
+}
+
+void MemoryStore::applyKept()
+{
+    for (const RowTransaction &transaction : std::exchange(m_kept, {})) {
+        apply(transaction);
+    }
+}
+
+boost::asio::awaitable<RowRead> MemoryStore::read(RowRange range, std::chrono::milliseconds)
+{
+    co_await protocol::waitFor(detail::callTime);
+    RowRead result;
+    result.ok = !down;
+    result.version = m_version;
+    for (auto row = m_rows.lower_bound({range.table, range.part, range.from}); !down && row != m_rows.end(); ++row) {
+        if (row->first.table != range.table || row->first.part != range.part) {
+            break;
+        }
+        if (result.rows.size() >= range.limit) {
+            result.more = true;
+            break;
+        }
+        result.rows.push_back(row->second);
+    }
+    co_return result;
+}
+
+boost::asio::awaitable<RowFeed> MemoryStore::follow(std::string table, std::uint64_t after,
+                                                    std::chrono::milliseconds wait)
+{
+    RowFeed feed;
+    const auto until = std::chrono::steady_clock::now() + wait;
+    while (true) {
+        co_await protocol::waitFor(detail::feedCheck);
+        if (down) {
+            co_return feed;
+        }
+        if (after < forgottenUpTo) {
+            feed.status = FeedStatus::HistoryGone;
+            co_return feed;
+        }
+        for (const Change &change : m_changes) {
+            if (change.row.version > after && change.row.key.table == table) {
+                feed.rows.push_back(change.row);
+            }
+        }
+        if (!feed.rows.empty() || std::chrono::steady_clock::now() >= until) {
+            feed.status = FeedStatus::Ok;
+            feed.version = m_version;
+            co_return feed;
+        }
+    }
+}
+
+void MemoryStore::put(const RowKey &key, const std::string &value)
+{
+    RowTransaction transaction;
+    transaction.puts.push_back({key, value});
+    apply(transaction);
+}
+
+void MemoryStore::remove(const RowKey &key)
+{
+    RowTransaction transaction;
+    transaction.removals.push_back(key);
+    apply(transaction);
+}
+
+std::string MemoryStore::value(const RowKey &key) const
+{
+    const auto found = m_rows.find(key);
+    return found == m_rows.end() ? std::string() : found->second.value;
+}
+
+} // namespace heatherquay::test
