Let the lease of a silent worker end, and test the scheduler by playing load into it

Ruled out: a lost end, a gang member stuck in stopping, a forgotten job: the logs show one silent worker and no end. Change: a look at a worker that did not answer the last one asks for no longer lease.

--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -508,7 +508,8 @@
     if (runs && settled && session.processedEnd == session.confirmedEnd) {
         request.wait = m_times.lookWait;
     }
-    if (runs && session.clock && hasAuthority()) {
+    // A worker that did not answer last time gets no longer lease: its runs would never count as over.
+    if (runs && settled && hasAuthority()) {
         request.leaseUntil = session.leaseEnd(m_times.lease);
         m_scheduler.leaseExtended(session.id, lapseOf(m_times.lease));
     }
--- /dev/null
+++ b/tests/batch/pool_simulation.cpp
@@ -0,0 +1,376 @@
+#include "batch/pool_simulation.hpp"
+
+#include <algorithm>
+
+namespace heatherquay::test
+{
+
+using namespace state::batch;
+using state::Duration;
+using state::Instant;
+using state::JobId;
+using state::WorkerId;
+
+namespace detail
+{
+
+constexpr Duration stepTime{10};
+constexpr Duration reportEvery{500};
+constexpr Duration stopTime{200};
+constexpr Duration lease{5'000};
+constexpr Duration checkpointEvery{1'000};
+constexpr double workMillisecondsPerStep = 10;
+constexpr double failingShare = 0.1;
+constexpr double farFactor = 3;
+constexpr double acceleratorCores = 8;
+
+} // namespace detail
+
+JobSpec makeJob(const std::string &id, std::uint32_t tasks, const Resources &need, Duration estimate)
+{
+    JobSpec job;
+    job.id.value = id;
+    job.queue = "batch";
+    job.team.value = "team";
+    StepSpec &step = job.steps.emplace_back();
+    step.taskCount = tasks;
+    step.need = need;
+    step.estimate = estimate;
+    return job;
+}
+
+PoolSimulation::PoolSimulation(SchedulerSettings settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_scheduler(std::make_unique<Scheduler>(settings))
+    , m_random(seed)
+{
+    setQueue("batch", {"service", 1, 3, 3.0, Duration(1'000)});
+}
+
+void PoolSimulation::setQueue(const std::string &name, const QueuePolicy &policy)
+{
+    m_queues[name] = policy;
+    m_scheduler->setQueues(m_queues);
+}
+
+std::vector<WorkerId> PoolSimulation::addWorkers(std::uint32_t count, std::uint32_t perRack, const Resources &capacity)
+{
+    std::vector<WorkerId> ids;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        SimulatedWorker worker;
+        worker.spec.id.value = "w" + std::to_string(m_workers.size());
+        worker.spec.incarnation.value = 1;
+        worker.spec.service = "service";
+        worker.spec.rack = "r" + std::to_string(m_workers.size() / perRack);
+        worker.spec.labels = {"a", worker.spec.rack};
+        worker.spec.capacity = capacity;
+        m_scheduler->registerWorker(worker.spec, m_now, m_now);
+        ids.push_back(worker.spec.id);
+        m_workers[worker.spec.id] = worker;
+    }
+    report();
+    return ids;
+}
+
+void PoolSimulation::submit(JobSpec job, std::optional<Duration> work)
+{
+    job.acceptedAt = m_now;
+    job.policy = m_queues[job.queue];
+    m_work[job.id] = work.value_or(job.steps.front().estimate);
+    m_jobs[job.id] = job;
+    m_scheduler->submit(job, m_now);
+}
+
+void PoolSimulation::cancel(const JobId &job)
+{
+    m_cancelled.insert(job);
+    m_scheduler->cancel(job, m_now);
+}
+
+JobState PoolSimulation::stateOf(const JobId &job) const
+{
+    const auto found = m_states.find(job);
+    return found == m_states.end() ? JobState::Queued : found->second;
+}
+
+std::optional<Duration> PoolSimulation::endOf(const JobId &job) const
+{
+    const auto found = m_ends.find(job);
+    return found == m_ends.end() ? std::nullopt : std::optional(found->second - m_jobs.at(job).acceptedAt);
+}
+
+std::uint32_t PoolSimulation::startsOf(const TaskId &task) const
+{
+    const auto found = m_starts.find(task);
+    return found == m_starts.end() ? 0 : found->second;
+}
+
+const StepSpec &PoolSimulation::stepOf(const TaskId &task) const
+{
+    return m_jobs.at(task.job).steps.at(task.step);
+}
+
+double PoolSimulation::workOf(const TaskId &task)
+{
+    return static_cast<double>(m_work.at(task.job).count());
+}
+
+void PoolSimulation::advance(Duration time)
+{
+    for (Duration passed{}; passed < time; passed += detail::stepTime) {
+        step();
+    }
+}
+
+void PoolSimulation::step()
+{
+    m_now += detail::stepTime;
+    work();
+    report();
+    const Decision decision = m_scheduler->decide(m_now, m_now);
+    for (const OccurrenceRecord &record : decision.records) {
+        m_records[{record.job, record.occurrence}] = record;
+    }
+    for (const JobStatus &status : decision.statuses) {
+        m_states[status.job] = status.state;
+        if (isFinal(status.state)) {
+            m_ends[status.job] = m_now;
+        }
+    }
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.silent) {
+            worker.ended.clear();
+        }
+    }
+    for (const StopOrder &order : decision.stops) {
+        carryOut(order);
+    }
+    for (const StartOrder &order : decision.starts) {
+        carryOut(order);
+    }
+}
+
+bool PoolSimulation::gangComplete(const SimulatedRun &run) const
+{
+    const StepSpec &step = stepOf(run.task);
+    if (!step.gang) {
+        return true;
+    }
+    const auto members = std::count_if(m_runs.begin(), m_runs.end(), [&](const SimulatedRun &other) {
+        return other.task.job == run.task.job && other.task.occurrence == run.task.occurrence
+            && other.task.step == run.task.step && other.run == run.run;
+    });
+    return static_cast<std::uint32_t>(members) == step.taskCount;
+}
+
+void PoolSimulation::work()
+{
+    for (std::size_t i = m_runs.size(); i-- > 0;) {
+        SimulatedRun &run = m_runs[i];
+        SimulatedWorker &worker = m_workers.at(run.worker);
+        if (worker.silent && m_now >= worker.leaseUntil) {
+            end(i, EndKind::Lapsed);
+            continue;
+        }
+        if (run.stopping && m_now >= run.stopsAt) {
+            end(i, EndKind::Stopped);
+            continue;
+        }
+        const bool moves = !worker.standsStill && !run.stopping && gangComplete(run);
+        if (!moves) {
+            continue;
+        }
+        const StepSpec &step = stepOf(run.task);
+        const bool far = !step.dataRack.empty() && worker.spec.rack != step.dataRack;
+        run.done += detail::workMillisecondsPerStep * worker.speed / (far ? detail::farFactor : 1);
+        if (worker.failsAll && run.done >= run.work * detail::failingShare) {
+            end(i, EndKind::Failed);
+        }
+    }
+    // Members of a gang end together, once all have done their work.
+    for (std::size_t i = m_runs.size(); i-- > 0;) {
+        if (i >= m_runs.size()) {
+            continue;
+        }
+        const SimulatedRun run = m_runs[i];
+        const bool all = std::all_of(m_runs.begin(), m_runs.end(), [&](const SimulatedRun &other) {
+            const bool same = other.task.job == run.task.job && other.task.occurrence == run.task.occurrence
+                && other.task.step == run.task.step && other.run == run.run;
+            const bool together = same && stepOf(run.task).gang;
+            return !together || other.done >= other.work;
+        });
+        if (run.done >= run.work && !run.stopping && all && gangComplete(run)) {
+            const auto position = i;
+            if (stepOf(run.task).gang) {
+                for (std::size_t other = m_runs.size(); other-- > 0;) {
+                    if (m_runs[other].task.job == run.task.job && m_runs[other].task.occurrence == run.task.occurrence
+                        && m_runs[other].task.step == run.task.step && m_runs[other].run == run.run) {
+                        end(other, EndKind::Done);
+                    }
+                }
+            } else {
+                end(position, EndKind::Done);
+            }
+        }
+    }
+}
+
+void PoolSimulation::end(std::size_t position, EndKind kind)
+{
+    const SimulatedRun run = m_runs[position];
+    m_runs.erase(m_runs.begin() + static_cast<std::ptrdiff_t>(position));
+    SimulatedWorker &worker = m_workers.at(run.worker);
+    EndReport report;
+    report.number = ++worker.lastEnd;
+    report.task = run.task;
+    report.run = run.run;
+    report.kind = kind;
+    const StepSpec &step = stepOf(run.task);
+    if (kind != EndKind::Done) {
+        const double saved = step.savesProgress ? run.done : 0;
+        report.checkpoint = step.savesProgress ? std::to_string(run.done) : std::string();
+        const double cores = static_cast<double>(step.need.cpuMillicores) / 1'000
+            + detail::acceleratorCores * static_cast<double>(step.need.accelerators);
+        m_wasted += cores * (run.done - saved) / 1'000;
+    }
+    worker.ended.push_back(report);
+}
+
+void PoolSimulation::report()
+{
+    for (auto &[id, worker] : m_workers) {
+        if (worker.silent) {
+            m_scheduler->workerSilent(id);
+            continue;
+        }
+        const bool due = (m_now.time_since_epoch() % detail::reportEvery).count() == 0;
+        const state::batch::Worker *known = m_scheduler->workers().find(id);
+        const bool newcomer = known != nullptr && (!known->fenced || known->silent);
+        if (!due && !newcomer && worker.ended.empty()) {
+            continue;
+        }
+        WorkerReport answer;
+        answer.incarnation = worker.spec.incarnation;
+        answer.askedAt = m_now;
+        answer.ended = worker.ended;
+        for (const EndReport &end : worker.ended) {
+            // An end that is never taken note of, because the lease lapsed first, does not count.
+            if (end.kind == EndKind::Done) {
+                m_done.insert(end.task);
+            }
+        }
+        for (const SimulatedRun &run : m_runs) {
+            if (run.worker == id) {
+                const auto percent = static_cast<std::uint32_t>(std::min(100.0, run.done / run.work * 100));
+                const bool saves = stepOf(run.task).savesProgress
+                    && run.done >= static_cast<double>(detail::checkpointEvery.count());
+                answer.running.push_back(
+                    {run.task, run.run, saves ? std::to_string(run.done) : std::string(), percent});
+            }
+        }
+        worker.leaseUntil = m_now + detail::lease;
+        m_scheduler->leaseExtended(id, m_now + detail::lease + detail::stepTime * 2);
+        m_scheduler->workerAnswered(id, answer, m_now);
+    }
+}
+
+void PoolSimulation::carryOut(const StartOrder &order)
+{
+    if (!m_scheduler->beginStart(order.task, order.run)) {
+        return;
+    }
+    SimulatedWorker &worker = m_workers.at(order.worker);
+    if (worker.silent) {
+        m_scheduler->startAnswered(order.task, order.run, StartOutcome::Unknown, m_now);
+        return;
+    }
+    const auto violate = [&](const std::string &rule) {
+        violations.push_back(rule + ": " + toString(order.task) + " run " + std::to_string(order.run));
+    };
+    const StepSpec &step = stepOf(order.task);
+    Resources used;
+    bool there = false;
+    std::uint32_t sameStep = 0;
+    for (const SimulatedRun &run : m_runs) {
+        there = there || (run.task == order.task && run.run == order.run && run.worker == order.worker);
+        if (run.task == order.task && !there) {
+            violate("a task runs twice at once");
+        }
+        if (run.worker == order.worker) {
+            used += claimOf(stepOf(run.task));
+            const bool same = run.task.job == order.task.job && run.task.occurrence == order.task.occurrence
+                && run.task.step == order.task.step;
+            sameStep += same ? 1 : 0;
+        }
+    }
+    if (!there) {
+        if (m_done.contains(order.task)) {
+            violate("a task starts after it was done");
+        }
+        if (m_cancelled.contains(order.task.job)) {
+            violate("a task of a cancelled job starts");
+        }
+        if (!step.requiredLabel.empty()
+            && std::find(worker.spec.labels.begin(), worker.spec.labels.end(), step.requiredLabel)
+                == worker.spec.labels.end()) {
+            violate("a worker lacks the required label");
+        }
+        if (step.tasksPerWorkerMax > 0 && sameStep >= step.tasksPerWorkerMax) {
+            violate("too many tasks of a step on one worker");
+        }
+        for (const std::uint32_t before : step.after) {
+            for (std::uint32_t index = 0; index < m_jobs.at(order.task.job).steps[before].taskCount; ++index) {
+                if (!m_done.contains({order.task.job, order.task.occurrence, before, index})) {
+                    violate("a step starts before one that it comes after");
+                }
+            }
+        }
+        used += claimOf(step);
+        if (!used.fitsIn(worker.spec.capacity)) {
+            violate("a worker is overfull");
+        }
+        ++m_starts[order.task];
+        const double saved = order.checkpoint.empty() ? 0 : std::stod(order.checkpoint);
+        m_runs.push_back({order.task, order.run, order.worker, saved, workOf(order.task), false, {}});
+    }
+    const bool lost = answerLost && answerLost(order);
+    m_scheduler->startAnswered(order.task, order.run, lost ? StartOutcome::Unknown : StartOutcome::Started, m_now);
+}
+
+void PoolSimulation::carryOut(const StopOrder &order)
+{
+    SimulatedWorker &worker = m_workers.at(order.worker);
+    if (worker.silent) {
+        return;
+    }
+    for (SimulatedRun &run : m_runs) {
+        if (run.task == order.task && run.run == order.run && run.worker == order.worker && !run.stopping) {
+            run.stopping = true;
+            run.stopsAt = m_now + detail::stopTime;
+        }
+    }
+    m_scheduler->stopAnswered(order.task, order.run, m_now);
+}
+
+void PoolSimulation::replaceScheduler()
+{
+    m_scheduler = std::make_unique<Scheduler>(m_settings);
+    m_scheduler->setQueues(m_queues);
+    const Instant leaseUntil = m_now + detail::lease + detail::lease;
+    for (const auto &[id, job] : m_jobs) {
+        if (!isFinal(stateOf(id))) {
+            m_scheduler->submit(job, m_now);
+            if (m_cancelled.contains(id)) {
+                m_scheduler->cancel(id, m_now);
+            }
+        }
+    }
+    for (const auto &[key, record] : m_records) {
+        m_scheduler->restore(record, m_now, leaseUntil);
+    }
+    for (const auto &[id, worker] : m_workers) {
+        m_scheduler->registerWorker(worker.spec, m_now, leaseUntil);
+    }
+}
+
+} // namespace heatherquay::test
--- /dev/null
+++ b/tests/batch/scheduler_test.cpp
@@ -0,0 +1,361 @@
+#include "batch/pool_simulation.hpp"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace heatherquay;
+using namespace heatherquay::state::batch;
+using namespace std::chrono_literals;
+using test::makeJob;
+using test::PoolSimulation;
+
+namespace
+{
+
+const Resources wholeWorker{128'000, 256'000, 8};
+const Resources smallTask{11'000, 16'000, 1};
+const Resources largeTask{15'000, 39'000, 8};
+
+state::JobId idOf(const std::string &text)
+{
+    return {text};
+}
+
+void checkRules(const PoolSimulation &pool)
+{
+    for (const std::string &violation : pool.violations) {
+        BOOST_ERROR(violation);
+    }
+}
+
+QueuePolicy urgentPolicy()
+{
+    return {"service", 0, 2, 1.5, state::Duration(250)};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(batch_scheduler)
+
+BOOST_AUTO_TEST_CASE(a_job_runs_and_completes)
+{
+    PoolSimulation pool;
+    pool.addWorkers(2, 8, wholeWorker);
+    pool.submit(makeJob("a", 20, smallTask, 1s));
+    pool.advance(5s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(steps_wait_for_the_ones_they_come_after)
+{
+    PoolSimulation pool;
+    pool.addWorkers(2, 8, wholeWorker);
+    JobSpec job = makeJob("a", 4, smallTask, 1s);
+    job.steps.push_back(job.steps.front());
+    job.steps.back().after = {0};
+    pool.submit(job);
+    pool.advance(1500ms);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Running));
+    pool.advance(3s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_waits_until_one_rack_holds_all_of_it)
+{
+    PoolSimulation pool;
+    pool.addWorkers(4, 2, wholeWorker);
+    pool.submit(makeJob("fill", 1, largeTask, 2s));
+    pool.advance(100ms);
+    JobSpec gang = makeJob("gang", 2, largeTask, 1s);
+    gang.steps.front().gang = true;
+    gang.steps.front().sameRack = true;
+    pool.submit(gang);
+    JobSpec second = gang;
+    second.id.value = "second";
+    pool.submit(second);
+    pool.advance(1s);
+    BOOST_TEST(pool.running() == 3U);
+    pool.advance(4s);
+    BOOST_TEST((pool.stateOf(idOf("gang")) == JobState::Completed));
+    BOOST_TEST((pool.stateOf(idOf("second")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_that_no_rack_can_hold_is_spread)
+{
+    PoolSimulation pool;
+    pool.addWorkers(4, 2, wholeWorker);
+    JobSpec gang = makeJob("gang", 3, largeTask, 1s);
+    gang.steps.front().gang = true;
+    gang.steps.front().sameRack = true;
+    pool.submit(gang);
+    pool.advance(2s);
+    BOOST_TEST((pool.stateOf(idOf("gang")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(data_and_labels_bind_a_task)
+{
+    PoolSimulation pool;
+    pool.addWorkers(4, 2, wholeWorker);
+    JobSpec near = makeJob("near", 2, largeTask, 1s);
+    near.steps.front().dataRack = "r1";
+    pool.submit(near);
+    JobSpec labelled = makeJob("labelled", 2, largeTask, 1s);
+    labelled.steps.front().requiredLabel = "r0";
+    pool.submit(labelled);
+    pool.advance(1200ms);
+    BOOST_TEST((pool.stateOf(idOf("near")) == JobState::Completed));
+    BOOST_TEST((pool.stateOf(idOf("labelled")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(tasks_of_a_step_keep_apart)
+{
+    PoolSimulation pool;
+    pool.addWorkers(2, 8, wholeWorker);
+    JobSpec job = makeJob("a", 4, smallTask, 1s);
+    job.steps.front().tasksPerWorkerMax = 1;
+    pool.submit(job);
+    pool.advance(500ms);
+    BOOST_TEST(pool.running() == 2U);
+    pool.advance(3s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(occurrences_start_when_they_are_due)
+{
+    PoolSimulation pool;
+    pool.addWorkers(1, 8, wholeWorker);
+    JobSpec job = makeJob("a", 1, smallTask, 100ms);
+    job.repetitions = 3;
+    job.firstRun = pool.now() + 1s;
+    job.interval = 1s;
+    pool.submit(job);
+    pool.advance(900ms);
+    BOOST_TEST(pool.startsOf({idOf("a"), 0, 0, 0}) == 0U);
+    pool.advance(1s);
+    BOOST_TEST(pool.startsOf({idOf("a"), 0, 0, 0}) == 1U);
+    BOOST_TEST(pool.startsOf({idOf("a"), 1, 0, 0}) == 0U);
+    pool.advance(2s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(a_perpetual_task_is_started_again_however_it_ends)
+{
+    PoolSimulation pool;
+    const auto workers = pool.addWorkers(1, 8, wholeWorker);
+    JobSpec job = makeJob("a", 1, smallTask, 500ms);
+    job.steps.front().perpetual = true;
+    pool.submit(job);
+    pool.worker(workers.front()).failsAll = true;
+    pool.advance(30s);
+    BOOST_TEST(pool.startsOf({idOf("a"), 0, 0, 0}) > 3U);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Running));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_fails_after_its_last_attempt_and_not_before)
+{
+    PoolSimulation pool;
+    for (const auto &id : pool.addWorkers(6, 8, wholeWorker)) {
+        pool.worker(id).failsAll = true;
+    }
+    pool.submit(makeJob("a", 1, smallTask, 1s));
+    pool.advance(20s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Failed));
+    BOOST_TEST(pool.startsOf({idOf("a"), 0, 0, 0}) == 3U);
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(one_bad_worker_fails_no_job)
+{
+    PoolSimulation pool;
+    const auto workers = pool.addWorkers(4, 8, wholeWorker);
+    pool.worker(workers.front()).failsAll = true;
+    for (int i = 0; i < 20; ++i) {
+        pool.submit(makeJob("job" + std::to_string(i), 4, smallTask, 1s));
+    }
+    pool.advance(40s);
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST((pool.stateOf(idOf("job" + std::to_string(i))) == JobState::Completed));
+    }
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_stands_still_moves_to_another_worker)
+{
+    PoolSimulation pool;
+    const auto workers = pool.addWorkers(2, 8, wholeWorker);
+    pool.submit(makeJob("a", 1, smallTask, 2s));
+    pool.advance(100ms);
+    for (const auto &id : workers) {
+        pool.worker(id).standsStill = pool.scheduler().workers().find(id)->runs > 0;
+    }
+    pool.advance(12s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    checkRules(pool);
+}
+
+// A member of a gang that has done its work shows no progress while it waits for slower ones; taking it for hung threw
+// the work of whole gangs away.
+BOOST_AUTO_TEST_CASE(a_gang_member_that_waits_for_slower_ones_is_not_hung)
+{
+    PoolSimulation pool;
+    const auto workers = pool.addWorkers(2, 8, wholeWorker);
+    pool.worker(workers.front()).speed = 0.2;
+    JobSpec gang = makeJob("gang", 2, largeTask, 3s);
+    gang.steps.front().gang = true;
+    pool.submit(gang);
+    pool.advance(16s);
+    BOOST_TEST((pool.stateOf(idOf("gang")) == JobState::Completed));
+    BOOST_TEST(pool.startsOf({idOf("gang"), 0, 0, 0}) == 1U);
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stops_and_starts_nothing_more)
+{
+    PoolSimulation pool;
+    pool.addWorkers(1, 8, wholeWorker);
+    pool.submit(makeJob("a", 20, smallTask, 5s));
+    pool.advance(1s);
+    pool.cancel(idOf("a"));
+    pool.advance(500ms);
+    BOOST_TEST(pool.running() == 0U);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Cancelled));
+    pool.advance(2s);
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(urgent_work_within_the_guarantee_starts_at_once)
+{
+    PoolSimulation pool;
+    pool.setQueue("urgent", urgentPolicy());
+    pool.scheduler().setGuarantees({{{"team"}, 32}});
+    pool.addWorkers(8, 8, wholeWorker);
+    pool.submit(makeJob("low", 64, smallTask, 20s));
+    pool.advance(2s);
+    JobSpec urgent = makeJob("urgent", 4, largeTask, 2s);
+    urgent.queue = "urgent";
+    urgent.steps.front().gang = true;
+    pool.submit(urgent);
+    pool.advance(600ms);
+    BOOST_TEST(pool.startsOf({idOf("urgent"), 0, 0, 3}) == 1U);
+    pool.advance(40s);
+    BOOST_TEST((pool.stateOf(idOf("urgent")) == JobState::Completed));
+    BOOST_TEST((pool.stateOf(idOf("low")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(stopped_work_resumes_from_its_checkpoint)
+{
+    PoolSimulation pool;
+    pool.setQueue("urgent", urgentPolicy());
+    pool.scheduler().setGuarantees({{{"team"}, 8}});
+    pool.addWorkers(1, 8, wholeWorker);
+    JobSpec low = makeJob("low", 1, largeTask, 6s);
+    low.steps.front().savesProgress = true;
+    pool.submit(low);
+    pool.advance(4s);
+    JobSpec urgent = makeJob("urgent", 1, largeTask, 1s);
+    urgent.queue = "urgent";
+    pool.submit(urgent);
+    pool.advance(2s);
+    BOOST_TEST((pool.stateOf(idOf("urgent")) == JobState::Completed));
+    pool.advance(3s);
+    BOOST_TEST((pool.stateOf(idOf("low")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_to_a_start_runs_the_task_once)
+{
+    PoolSimulation pool;
+    pool.addWorkers(4, 8, wholeWorker);
+    int orders = 0;
+    pool.answerLost = [&orders](const StartOrder &) {
+        return ++orders % 2 == 1;
+    };
+    pool.submit(makeJob("a", 10, smallTask, 2s));
+    pool.advance(8s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    BOOST_TEST(pool.startsOf({idOf("a"), 0, 0, 0}) == 1U);
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(runs_on_a_silent_worker_start_elsewhere_only_after_the_lease)
+{
+    PoolSimulation pool;
+    const auto workers = pool.addWorkers(2, 8, wholeWorker);
+    pool.submit(makeJob("a", 4, smallTask, 3s));
+    pool.advance(1s);
+    for (const auto &id : workers) {
+        if (pool.scheduler().workers().find(id)->runs > 0) {
+            pool.worker(id).silent = true;
+            break;
+        }
+    }
+    pool.advance(15s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_DATA_TEST_CASE(a_successor_goes_on_from_the_records, boost::unit_test::data::xrange(0, 12), when)
+{
+    PoolSimulation pool;
+    pool.setQueue("urgent", urgentPolicy());
+    pool.scheduler().setGuarantees({{{"team"}, 16}});
+    pool.addWorkers(4, 2, wholeWorker);
+    pool.submit(makeJob("a", 30, smallTask, 1s));
+    JobSpec gang = makeJob("gang", 2, largeTask, 2s);
+    gang.queue = "urgent";
+    gang.steps.front().gang = true;
+    gang.steps.front().sameRack = true;
+    pool.submit(gang);
+    pool.advance(state::Duration(10 + when * 170));
+    pool.replaceScheduler();
+    pool.advance(20s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    BOOST_TEST((pool.stateOf(idOf("gang")) == JobState::Completed));
+    checkRules(pool);
+}
+
+// A job that ended left memory before its record was stored; the store failed just then, and the next decider ran the
+// job again.
+BOOST_AUTO_TEST_CASE(an_ended_job_is_recorded_again_after_a_store_failure)
+{
+    PoolSimulation pool;
+    pool.addWorkers(1, 8, wholeWorker);
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 3, 3.0, state::Duration(1'000)}}});
+    WorkerSpec worker;
+    worker.id.value = "w";
+    worker.incarnation.value = 1;
+    worker.service = "service";
+    worker.capacity = wholeWorker;
+    state::Instant now(1s);
+    scheduler.registerWorker(worker, now, now);
+    scheduler.workerAnswered(worker.id, {worker.incarnation, now, {}, {}}, now);
+    scheduler.submit(makeJob("a", 1, smallTask, 1s), now);
+    BOOST_TEST(scheduler.decide(now, now).starts.size() == 1U);
+    const TaskId task{idOf("a"), 0, 0, 0};
+    BOOST_TEST(scheduler.beginStart(task, 1));
+    scheduler.startAnswered(task, 1, StartOutcome::Started, now);
+    scheduler.workerAnswered(worker.id, {worker.incarnation, now + 1s, {}, {{1, task, 1, EndKind::Done, ""}}},
+                             now + 1s);
+    const Decision lost = scheduler.decide(now + 1s, now + 1s);
+    BOOST_TEST(lost.statuses.size() == 1U);
+    scheduler.recordAgain(lost);
+    const Decision again = scheduler.decide(now + 2s, now + 2s);
+    BOOST_REQUIRE(again.records.size() == 1U);
+    BOOST_TEST(again.records.front().units.front().done);
+    BOOST_REQUIRE(again.statuses.size() == 1U);
+    BOOST_TEST((again.statuses.front().state == JobState::Completed));
+    scheduler.decide(now + 3s, now + 3s);
+    BOOST_TEST(scheduler.liveJobs() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
