--- /dev/null
+++ b/tests/batch/decider_test.cpp
@@ -0,0 +1,389 @@
+#include "batch/fake_worker.hpp"
+#include "batch/memory_store.hpp"
+#include "batch/pool_simulation.hpp"
+#include "heatherquay/coordination/batch/acceptance.hpp"
+#include "heatherquay/coordination/batch/decider.hpp"
+#include "heatherquay/coordination/batch/term.hpp"
+
+#include <map>
+#include <memory>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace heatherquay;
+using namespace heatherquay::coordination::batch;
+using namespace std::chrono_literals;
+using state::batch::JobState;
+
+namespace
+{
+
+using TestDecider = Decider<test::MemoryStore, test::FakeWorker>;
+
+/// A decider with its own view of the store, as in a process of its own.
+struct DecidingProcess
+{
+    DecidingProcess(boost::asio::io_context &context, test::MemoryStore &rowStore,
+                    std::map<std::string, std::shared_ptr<test::FakeWorker>> &workers, std::uint64_t token)
+        : store(rowStore)
+        , mirror(store, boardTable, {intakePart, deciderPart}, [this](const protocol::batch::StoredRow &row) {
+            if (row.key.key == termKey) {
+                termVersion = row.version;
+                return;
+            }
+            const auto job = board.take(row);
+            if (job && decider) {
+                decider->noteBoard(*job);
+            }
+        })
+    {
+        TermRecord term;
+        term.token.value = token;
+        store.put({boardTable, deciderPart, termKey}, encodeTerm(term));
+        boost::asio::co_spawn(context, mirror.run(), boost::asio::detached);
+        context.run_for(30ms);
+        context.restart();
+        confirmedAt = std::chrono::steady_clock::now();
+        DeciderPorts<test::FakeWorker> ports;
+        ports.term = [this] {
+            return protocol::batch::RowCondition{{boardTable, deciderPart, termKey}, termVersion};
+        };
+        ports.confirmedAt = [this] {
+            return confirmedAt;
+        };
+        ports.confirm = [this](std::chrono::steady_clock::time_point sentAt) {
+            confirmedAt = sentAt;
+        };
+        ports.depose = [this](const std::string &) {
+            deposed = true;
+            decider->stop();
+        };
+        ports.connect = [&workers](const state::batch::WorkerSpec &spec) {
+            return workers.at(spec.id.value);
+        };
+        ports.readWorker = [&workers](const protocol::batch::StoredRow &row) {
+            const auto found = workers.find(row.key.key);
+            return found == workers.end() ? std::nullopt : std::optional(found->second->spec);
+        };
+        ports.workersTable = "workers";
+        ports.board = &board;
+        DeciderTimes times;
+        times.lease = 300ms;
+        times.authority = 200ms;
+        times.passEvery = 10ms;
+        times.passGap = 1ms;
+        times.lookWait = 50ms;
+        times.lookGrace = 60ms;
+        times.lookRetry = 10ms;
+        times.orderTimeout = 60ms;
+        times.recordWait = 50ms;
+        times.lapseSlack = 20ms;
+        state::batch::SchedulerSettings settings;
+        settings.stopRetry = 50ms;
+        decider = std::make_shared<TestDecider>(context.get_executor(), store, protocol::batch::FencingToken{token},
+                                                ports, times, settings);
+        decider->setQueues({{"batch", {"service", 1, 3, 3.0, 1'000ms}}});
+        decider->start();
+    }
+
+    ~DecidingProcess()
+    {
+        kill();
+    }
+
+    /// Ends without a word, as a killed process does.
+    void kill()
+    {
+        decider->stop();
+        mirror.stop();
+    }
+
+    test::MemoryStore &store;
+    JobBoard board;
+    TableMirror<test::MemoryStore> mirror;
+    std::shared_ptr<TestDecider> decider;
+    std::uint64_t termVersion{};
+    std::chrono::steady_clock::time_point confirmedAt;
+    bool deposed{};
+};
+
+struct DeciderFixture
+{
+    DeciderFixture()
+    {
+        for (int i = 0; i < 2; ++i) {
+            state::batch::WorkerSpec spec;
+            spec.id.value = "w" + std::to_string(i);
+            spec.incarnation.value = 1;
+            spec.service = "service";
+            spec.rack = "r0";
+            spec.labels = {"a", "r0"};
+            spec.capacity = {32'000, 64'000, 8};
+            workers[spec.id.value] = std::make_shared<test::FakeWorker>(spec);
+            registerWorker(spec.id.value);
+        }
+    }
+
+    ~DeciderFixture()
+    {
+        process.reset();
+        successor.reset();
+        context.run_for(200ms); // Lets the coroutines of the deciders end.
+    }
+
+    void registerWorker(const std::string &id)
+    {
+        store.put({"workers", "", id}, std::to_string(++registrations));
+    }
+
+    void start(std::uint64_t token = 1)
+    {
+        process = std::make_unique<DecidingProcess>(context, store, workers, token);
+    }
+
+    void submit(const std::string &id, std::uint32_t tasks)
+    {
+        auto job = test::makeJob(id, tasks, {1'000, 1'000, 1}, 100ms);
+        job.policy = {"service", 1, 3, 3.0, 1'000ms};
+        bool accepted = false;
+        boost::asio::co_spawn(
+            context,
+            [&]() -> boost::asio::awaitable<void> {
+                Acceptance<test::MemoryStore> acceptance(store);
+                const auto outcome = co_await acceptance.submit(job, std::chrono::steady_clock::now() + 1s);
+                accepted = outcome == AcceptOutcome::Accepted;
+            },
+            boost::asio::detached);
+        runFor(10ms);
+        BOOST_REQUIRE(accepted);
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        context.run_for(time);
+        context.restart();
+    }
+
+    std::string status(const std::string &id) const
+    {
+        return store.value({boardTable, deciderPart, id});
+    }
+
+    bool completed(const std::string &id) const
+    {
+        return status(id).find("completed") != std::string::npos;
+    }
+
+    /// Starts of each task over all workers.
+    std::map<std::string, int> starts() const
+    {
+        std::map<std::string, int> count;
+        for (const auto &[id, worker] : workers) {
+            for (const auto &record : worker->records) {
+                count[toString(record.task)] += record.started ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    boost::asio::io_context context;
+    test::MemoryStore store;
+    std::map<std::string, std::shared_ptr<test::FakeWorker>> workers;
+    std::unique_ptr<DecidingProcess> process;
+    std::unique_ptr<DecidingProcess> successor;
+    int registrations{};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(batch_decider, DeciderFixture)
+
+BOOST_AUTO_TEST_CASE(a_stored_job_runs_and_its_state_is_written)
+{
+    start();
+    submit("a", 4);
+    runFor(600ms);
+    BOOST_TEST(completed("a"));
+    BOOST_TEST(starts().size() == 4U);
+    for (const auto &[task, count] : starts()) {
+        BOOST_TEST(count == 1, task);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ends_are_confirmed_only_after_their_record_is_stored)
+{
+    start();
+    submit("a", 1);
+    runFor(60ms);
+    store.down = true;
+    runFor(250ms);
+    for (const auto &[id, worker] : workers) {
+        BOOST_TEST(worker->confirmedEnd == 0U);
+    }
+    store.down = false;
+    runFor(500ms);
+    BOOST_TEST(completed("a"));
+}
+
+// A worker leaves with a run on it. While looks that nobody answers counted as extending its lease, the run never
+// counted as over, and the job waited for ever.
+BOOST_AUTO_TEST_CASE(a_run_on_a_worker_that_never_answers_again_starts_elsewhere)
+{
+    for (auto &[id, worker] : workers) {
+        worker->work = 400ms;
+    }
+    start();
+    submit("a", 1);
+    runFor(100ms);
+    for (auto &[id, worker] : workers) {
+        if (worker->running() > 0) {
+            worker->silent = true;
+            store.remove({"workers", "", id});
+        }
+    }
+    for (int i = 0; i < 15; ++i) {
+        process->confirmedAt = std::chrono::steady_clock::now();
+        runFor(100ms);
+    }
+    BOOST_TEST(completed("a"));
+    BOOST_TEST(starts().begin()->second == 2);
+}
+
+BOOST_AUTO_TEST_CASE(no_run_starts_elsewhere_before_the_lease_of_a_silent_worker_has_ended)
+{
+    for (auto &[id, worker] : workers) {
+        worker->work = 10s;
+    }
+    start();
+    submit("a", 1);
+    runFor(100ms);
+    std::shared_ptr<test::FakeWorker> cut;
+    for (auto &[id, worker] : workers) {
+        if (worker->running() > 0) {
+            worker->silent = true;
+            cut = worker;
+        }
+    }
+    BOOST_REQUIRE(cut);
+    for (int i = 0; i < 100 && starts().begin()->second == 1; ++i) {
+        process->confirmedAt = std::chrono::steady_clock::now();
+        runFor(20ms);
+    }
+    BOOST_TEST(starts().begin()->second == 2);
+    BOOST_TEST(cut->clock().count() > cut->leaseUntil().count());
+}
+
+BOOST_AUTO_TEST_CASE(a_successor_goes_on_without_starting_anything_twice)
+{
+    for (auto &[id, worker] : workers) {
+        worker->work = 250ms;
+    }
+    start();
+    submit("a", 8);
+    runFor(100ms);
+    process->kill();
+    successor = std::make_unique<DecidingProcess>(context, store, workers, 2);
+    runFor(800ms);
+    BOOST_TEST(completed("a"));
+    for (const auto &[task, count] : starts()) {
+        BOOST_TEST(count == 1, task);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_decider_that_was_replaced_is_deposed_and_starts_nothing)
+{
+    start();
+    runFor(50ms);
+    successor = std::make_unique<DecidingProcess>(context, store, workers, 2);
+    runFor(50ms);
+    submit("a", 4);
+    runFor(500ms);
+    BOOST_TEST(completed("a"));
+    BOOST_TEST(process->deposed);
+    for (const auto &[id, worker] : workers) {
+        for (const auto &record : worker->records) {
+            BOOST_TEST(record.token == 2U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(records_survive_lost_and_late_answers_of_the_store)
+{
+    start();
+    submit("a", 4);
+    store.loseAnswers = 2;
+    runFor(150ms);
+    store.applyLate = 1;
+    runFor(300ms);
+    store.applyKept();
+    runFor(600ms);
+    BOOST_TEST(completed("a"));
+    for (const auto &[task, count] : starts()) {
+        BOOST_TEST(count == 1, task);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_settled_before_the_task_starts_elsewhere)
+{
+    for (auto &[id, worker] : workers) {
+        worker->mute = true;
+    }
+    start();
+    runFor(50ms);
+    for (auto &[id, worker] : workers) {
+        worker->mute = false;
+    }
+    submit("a", 2);
+    runFor(800ms);
+    BOOST_TEST(completed("a"));
+}
+
+BOOST_AUTO_TEST_CASE(runs_of_a_worker_reborn_under_its_id_start_again)
+{
+    for (auto &[id, worker] : workers) {
+        worker->work = 300ms;
+    }
+    start();
+    submit("a", 2);
+    runFor(100ms);
+    for (auto &[id, worker] : workers) {
+        worker->restart();
+        registerWorker(id);
+    }
+    runFor(900ms);
+    BOOST_TEST(completed("a"));
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped)
+{
+    for (auto &[id, worker] : workers) {
+        worker->work = 10s;
+    }
+    start();
+    submit("a", 3);
+    runFor(100ms);
+    store.put(intakeRow({"a"}), encodeIntake({"batch", true}));
+    runFor(300ms);
+    BOOST_TEST(status("a").find("cancelled") != std::string::npos);
+    for (const auto &[id, worker] : workers) {
+        BOOST_TEST(worker->running() == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_history_is_read_again)
+{
+    start();
+    submit("a", 2);
+    store.forgottenUpTo = 1'000;
+    runFor(100ms);
+    store.forgottenUpTo = 0;
+    submit("b", 2);
+    runFor(700ms);
+    BOOST_TEST(completed("a"));
+    BOOST_TEST(completed("b"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
