--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -27,6 +27,7 @@
     std::chrono::milliseconds lease{5'000}; ///< Of a worker; bridges a take-over. At most what workers grant.
     std::chrono::milliseconds authority{4'000}; ///< Without confirmation by the store, leases are no longer extended.
     std::chrono::milliseconds passEvery{100}; ///< At least.
+    std::chrono::milliseconds learnedEvery{2'000}; ///< Between two records of speeds; a take-over loses no more.
     std::chrono::milliseconds passGap{10}; ///< At least between two passes, so that events share one.
     std::chrono::milliseconds lookWait{1'500}; ///< A worker holds its answer for an end this long.
     std::chrono::milliseconds lookGrace{900}; ///< For the answer itself, before the worker counts as silent.
@@ -123,6 +124,7 @@
     std::map<state::JobId, state::Instant> m_endedAt; ///< Ended jobs that are not forgotten yet.
     std::vector<state::batch::StartOrder> m_heldStarts; ///< Not ordered before their records are stored.
     state::Instant m_tookOverAt;
+    state::Instant m_learnedAt; ///< When speeds were last recorded.
     bool m_recovered{};
     bool m_stopped{};
     bool m_awake{};
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -244,6 +244,7 @@
         co_await protocol::waitFor(m_times.passGap);
     }
     std::vector<state::batch::OccurrenceRecord> records;
+    state::batch::LearnedRecord learned;
     protocol::batch::RowRange range{progressTable, deciderPart, {}, 500};
     bool more = true;
     while (more && !m_stopped) {
@@ -255,6 +256,10 @@
         for (const auto &row : page.rows) {
             m_writer.noteVersion(row.key, row.version);
             try {
+                if (row.key == learnedRow()) {
+                    learned = protocol::batch::decodeLearned(row.value);
+                    continue;
+                }
                 records.push_back(protocol::batch::decodeOccurrence(row.value));
             } catch (const Error &error) {
                 transport::log(transport::LogLevel::Error, "record-unreadable",
@@ -283,6 +288,8 @@
     for (const auto &record : records) {
         m_scheduler.restore(record, now(), leaseUntil);
     }
+    m_scheduler.restoreLearned(learned);
+    m_learnedAt = now();
     for (const auto &[id, session] : m_sessions) {
         session->looking = true;
         spawn(lookLoop(session));
@@ -338,6 +345,10 @@
     for (const auto &status : decision.statuses) {
         rows.push_back({statusRow(status.job), protocol::batch::encodeStatus(status)});
     }
+    if (!rows.empty() && now() >= m_learnedAt + m_times.learnedEvery) {
+        m_learnedAt = now();
+        rows.push_back({learnedRow(), protocol::batch::encodeLearned(m_scheduler.learned())});
+    }
     const WriteOutcome outcome = co_await m_writer.write(std::move(rows));
     if (m_stopped) {
         co_return false;
--- a/src/heatherquay/coordination/batch/layout.hpp
+++ b/src/heatherquay/coordination/batch/layout.hpp
@@ -22,6 +22,8 @@
 constexpr const char *termKey = "!term";
 constexpr const char *pulseKey = "!pulse";
 
+constexpr const char *learnedKey = "!learned"; ///< In the progress table.
+
 inline protocol::batch::RowKey jobRow(const state::JobId &job)
 {
     return {jobsTable, intakePart, job.value};
@@ -34,6 +36,10 @@
 {
     return {boardTable, deciderPart, job.value};
 }
+inline protocol::batch::RowKey learnedRow()
+{
+    return {progressTable, deciderPart, learnedKey};
+}
 inline protocol::batch::RowKey progressRow(const state::JobId &job, std::uint32_t occurrence)
 {
     return {progressTable, deciderPart, job.value + "." + std::to_string(occurrence)};
--- a/src/heatherquay/protocol/batch/record_codec.cpp
+++ b/src/heatherquay/protocol/batch/record_codec.cpp
@@ -97,6 +97,29 @@
     archive("units", value.units);
 }
 
+template<typename Archive>
+void fields(Archive &archive, typename Archive::template Ref<WorkerSpeed> value)
+{
+    archive("worker", value.worker);
+    archive("incarnation", value.incarnation);
+    archive("slowness", value.slowness);
+}
+
+template<typename Archive>
+void fields(Archive &archive, typename Archive::template Ref<QueueEstimate> value)
+{
+    archive("queue", value.queue);
+    archive("runs", value.runs);
+    archive("meanMilliseconds", value.meanMilliseconds);
+}
+
+template<typename Archive>
+void fields(Archive &archive, typename Archive::template Ref<LearnedRecord> value)
+{
+    archive("workers", value.workers);
+    archive("queues", value.queues);
+}
+
 template<typename Archive>
 void fields(Archive &archive, typename Archive::template Ref<JobStatus> value)
 {
@@ -154,6 +177,16 @@
     return detail::decode<state::batch::OccurrenceRecord>(text, "occurrence");
 }
 
+std::string encodeLearned(const state::batch::LearnedRecord &learned)
+{
+    return detail::encode(learned);
+}
+
+state::batch::LearnedRecord decodeLearned(const std::string &text)
+{
+    return detail::decode<state::batch::LearnedRecord>(text, "learned");
+}
+
 std::string encodeStatus(const state::batch::JobStatus &status)
 {
     return detail::encode(status);
--- a/src/heatherquay/protocol/batch/record_codec.hpp
+++ b/src/heatherquay/protocol/batch/record_codec.hpp
@@ -22,4 +22,8 @@
 /// @throws Error(BadInput) when @p text is not an encoded status
 state::batch::JobStatus decodeStatus(const state::JobId &job, const std::string &text);
 
+std::string encodeLearned(const state::batch::LearnedRecord &learned);
+/// @throws Error(BadInput) when @p text is not an encoded record
+state::batch::LearnedRecord decodeLearned(const std::string &text);
+
 } // namespace heatherquay::protocol::batch
--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -12,8 +12,6 @@
 // Weights of a task's fit: the lowest score wins.
 constexpr double acceleratorLeftWeight = 1.0; // Per accelerator left free, so that empty workers stay whole.
 constexpr double processorLeftWeight = 0.5; // For a whole worker's processors left free.
-constexpr double slownessWeight = 4.0; // For twice the expected run time; as much as four accelerators left.
-constexpr double urgentSlownessWeight = 12.0; // Urgent work takes a fast worker even when that splits an empty one.
 constexpr double avoidedWeight = 1'000.0; // The worker of the last failure comes last.
 constexpr double evictionWeight = 0.1; // Per core-second that would be lost.
 
@@ -61,7 +59,9 @@
     const Resources claim = claimOf(step);
     for (const auto &[id, worker] : m_pool.all()) {
         if (worker.spec.service != request.service || !m_pool.accepts(worker, m_now)
-            || (!step.requiredLabel.empty() && !worker.hasLabel(step.requiredLabel))) {
+            || (!step.requiredLabel.empty() && !worker.hasLabel(step.requiredLabel))
+            || worker.slowness > request.slownessMax
+            || (request.closedRacks != nullptr && request.closedRacks->contains(worker.spec.rack))) {
             continue;
         }
         Candidate candidate{
@@ -107,12 +107,11 @@
                 room -= claim;
                 return room;
             }();
-            const double slowness = request.preferFast ? detail::urgentSlownessWeight : detail::slownessWeight;
             double score
                 = detail::acceleratorLeftWeight * static_cast<double>(std::max<std::int64_t>(left.accelerators, 0))
                 + detail::processorLeftWeight * static_cast<double>(std::max<std::int64_t>(left.cpuMillicores, 0))
                     / static_cast<double>(std::max<std::int64_t>(candidate.worker->spec.capacity.cpuMillicores, 1))
-                + slowness * std::max(candidate.worker->slowness - 1, -0.5);
+                + request.slownessWeight * std::clamp(candidate.worker->slowness - 1, -0.5, 1.5);
             if (candidate.avoided) {
                 score += detail::avoidedWeight;
             }
@@ -145,24 +144,54 @@
     return static_cast<std::uint32_t>(std::min<std::uint64_t>(fit, std::numeric_limits<std::uint32_t>::max()));
 }
 
-std::optional<std::vector<WorkerId>> Placement::choose(const PlacementRequest &request, const Candidates &pool) const
+std::map<std::string, Placement::Candidates> Placement::idleRacks(const PlacementRequest &request) const
 {
-    const StepSpec &step = *request.step;
-    const bool rackBound = detail::slowsOverRacks(step) || !step.dataRack.empty();
-    if (!rackBound) {
-        double cost = 0;
-        return fill(pool, request, cost);
-    }
     // Racks are judged by what idle workers could hold, so that a busy rack is waited for and a small one is not.
-    std::map<std::string, Candidates> idle;
+    std::map<std::string, Candidates> racks;
+    const StepSpec &step = *request.step;
     for (const auto &[id, worker] : m_pool.all()) {
         if (worker.spec.service == request.service && worker.registered && !worker.spec.draining
             && (step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel))) {
             const std::uint32_t most
                 = step.tasksPerWorkerMax > 0 ? step.tasksPerWorkerMax : std::numeric_limits<std::uint32_t>::max();
-            idle[worker.spec.rack].push_back({&worker, {}, {}, 0, most, false});
+            racks[worker.spec.rack].push_back({&worker, {}, {}, 0, most, false});
+        }
+    }
+    return racks;
+}
+
+std::string Placement::rackToClaim(const PlacementRequest &request, const std::map<WorkerId, double> &workLeft) const
+{
+    std::string best;
+    double least = std::numeric_limits<double>::max();
+    for (const auto &[rack, workers] : idleRacks(request)) {
+        const bool wanted = request.step->dataRack.empty() || request.step->dataRack == rack;
+        const bool closed = request.closedRacks != nullptr && request.closedRacks->contains(rack);
+        if (!wanted || closed || tasksThatFit(workers, request) < request.atLeast) {
+            continue;
+        }
+        double left = 0;
+        for (const Candidate &candidate : workers) {
+            const auto found = workLeft.find(candidate.worker->spec.id);
+            left += found == workLeft.end() ? 0 : found->second;
         }
+        if (left < least) {
+            least = left;
+            best = rack;
+        }
+    }
+    return best;
+}
+
+std::optional<std::vector<WorkerId>> Placement::choose(const PlacementRequest &request, const Candidates &pool) const
+{
+    const StepSpec &step = *request.step;
+    const bool rackBound = detail::slowsOverRacks(step) || !step.dataRack.empty();
+    if (!rackBound) {
+        double cost = 0;
+        return fill(pool, request, cost);
     }
+    const std::map<std::string, Candidates> idle = idleRacks(request);
     const auto holds = [&](const std::string &rack) {
         const auto found = idle.find(rack);
         return found != idle.end() && tasksThatFit(found->second, request) >= request.atLeast;
--- a/src/heatherquay/state/batch/placement.hpp
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -3,8 +3,9 @@
 #include "heatherquay/state/batch/unit.hpp"
 #include "heatherquay/state/batch/worker_pool.hpp"
 
-#include <functional>
+#include <limits>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace heatherquay::state::batch
@@ -20,7 +21,9 @@
     WorkerId avoided; ///< Used only when no other worker fits.
     /// Tasks of the step that each worker already runs; filled only when the step bounds them.
     std::map<WorkerId, std::uint32_t> stepTasks;
-    bool preferFast{}; ///< Prefers workers that have been fast over ones that leave less room unused.
+    double slownessWeight{}; ///< Score for twice the usual run time; negative to leave fast workers to others.
+    double slownessMax{std::numeric_limits<double>::max()}; ///< Slower workers are left out.
+    const std::set<std::string> *closedRacks{}; ///< Kept free for others; null for none.
 };
 
 /// What would have to be stopped on a worker to make room.
@@ -46,6 +49,11 @@
     std::optional<std::vector<WorkerId>> findWithEviction(const PlacementRequest &request,
                                                           const std::map<WorkerId, Evictable> &evictable) const;
 
+    /// @return the rack that should be kept free for a gang that does not fit now: the one that can hold it and has
+    /// the least work left; empty when no rack can
+    /// @param workLeft accelerator-seconds until each worker's runs have ended
+    std::string rackToClaim(const PlacementRequest &request, const std::map<WorkerId, double> &workLeft) const;
+
 private:
     struct Candidate
     {
@@ -58,6 +66,7 @@
     };
     using Candidates = std::vector<Candidate>;
 
+    std::map<std::string, Candidates> idleRacks(const PlacementRequest &request) const;
     Candidates candidates(const PlacementRequest &request, const std::map<WorkerId, Evictable> *evictable) const;
     std::optional<std::vector<WorkerId>> fill(Candidates pool, const PlacementRequest &request, double &cost) const;
     std::optional<std::vector<WorkerId>> choose(const PlacementRequest &request, const Candidates &pool) const;
--- a/src/heatherquay/state/batch/progress.hpp
+++ b/src/heatherquay/state/batch/progress.hpp
@@ -45,6 +45,29 @@
     std::vector<UnitRecord> units;
 };
 
+/// How fast a worker has been.
+struct WorkerSpeed
+{
+    WorkerId worker;
+    std::int64_t incarnation{}; ///< A restarted worker may be of another kind.
+    double slowness{1};
+};
+
+/// How long the tasks of a queue have run.
+struct QueueEstimate
+{
+    std::string queue;
+    std::uint32_t runs{};
+    double meanMilliseconds{};
+};
+
+/// What a scheduler has learned and its successor would otherwise learn anew.
+struct LearnedRecord
+{
+    std::vector<WorkerSpeed> workers;
+    std::vector<QueueEstimate> queues;
+};
+
 /// What callers see of a job.
 struct JobStatus
 {
--- a/src/heatherquay/state/batch/run_estimates.cpp
+++ b/src/heatherquay/state/batch/run_estimates.cpp
@@ -30,6 +30,20 @@
     return std::max(Duration(1), step.estimate);
 }
 
+std::vector<QueueEstimate> RunEstimates::estimates() const
+{
+    std::vector<QueueEstimate> result;
+    for (const auto &[queue, record] : m_queues) {
+        result.push_back({queue, record.runs, record.meanMilliseconds});
+    }
+    return result;
+}
+
+void RunEstimates::restore(const QueueEstimate &estimate)
+{
+    m_queues[estimate.queue] = {estimate.runs, estimate.meanMilliseconds};
+}
+
 Duration RunEstimates::chainFrom(const JobSpec &job, std::uint32_t step) const
 {
     // Steps name only earlier ones, so one pass backwards sees every successor first.
--- a/src/heatherquay/state/batch/run_estimates.hpp
+++ b/src/heatherquay/state/batch/run_estimates.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "heatherquay/state/batch/job.hpp"
+#include "heatherquay/state/batch/progress.hpp"
 
 #include <map>
 
@@ -21,6 +21,9 @@
     /// @return the expected time of the longest chain of steps of the whole job
     Duration chain(const JobSpec &job) const;
 
+    std::vector<QueueEstimate> estimates() const;
+    void restore(const QueueEstimate &estimate);
+
 private:
     struct Record
     {
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -10,6 +10,14 @@
 
 constexpr Duration stopVisibleMax{2'000}; // A stop that was answered but has no effect by then is sent again.
 
+constexpr Duration paceTimeLeast{300}; // Shorter spans are dominated by the rounding of percent.
+constexpr std::size_t pacesForMedian = 3;
+constexpr double matesWeight = 0.4; // Of a pace compared with tasks of the same step; three settle a worker's speed.
+constexpr double mateWeight = 0.2; // With only one other task, which may itself be odd.
+constexpr double strangerWeight = 0.05; // Of a pace compared with the queue's mean, which jobs differ from by half.
+constexpr double slownessLeast = 0.3;
+constexpr double slownessMost = 8; // Slower than any worker that still works.
+
 bool mayExist(const Member &member)
 {
     return member.phase != RunPhase::Gone && member.phase != RunPhase::Reserved && member.phase != RunPhase::Planned;
@@ -227,10 +235,7 @@
                 member.progressAt = now;
             }
             member.incarnation = report.incarnation;
-            if (entry.percent != member.percent) {
-                member.percent = entry.percent;
-                member.progressAt = now;
-            }
+            learnPace(run, entry.percent, now);
             if (!entry.checkpoint.empty()) {
                 run.unit->checkpoint = entry.checkpoint;
             }
@@ -258,6 +263,56 @@
     }
 }
 
+void Scheduler::noteSpeed(Worker &worker, double ratio, double weight)
+{
+    worker.slowness += weight * (std::clamp(ratio, detail::slownessLeast, detail::slownessMost) - worker.slowness);
+}
+
+void Scheduler::learnPace(const Located &run, std::uint32_t percent, Instant now)
+{
+    Member &member = *run.member;
+    const Duration passed = now - member.progressAt;
+    if (percent == member.percent) {
+        return;
+    }
+    const bool measured = member.percentKnown && percent > member.percent && passed >= detail::paceTimeLeast;
+    if (measured) {
+        member.millisecondsPerPercent
+            = static_cast<double>(passed.count()) / static_cast<double>(percent - member.percent);
+    }
+    member.percent = percent;
+    member.percentKnown = true;
+    member.progressAt = now;
+    const StepSpec &step = stepOf(*run.job, *run.unit);
+    Worker *worker = m_pool.find(member.worker);
+    const bool away = worker != nullptr && !step.dataRack.empty() && worker->spec.rack != step.dataRack;
+    if (!measured || worker == nullptr || away || step.perpetual) {
+        return;
+    }
+    // Tasks of a step are alike, so the others tell how fast a sound worker is.
+    std::vector<double> soundPaces;
+    for (const Unit &unit : run.occurrence->units) {
+        if (unit.step != run.unit->step) {
+            continue;
+        }
+        for (const Member &other : unit.members) {
+            const Worker *where = m_pool.find(other.worker);
+            if (where != nullptr && other.millisecondsPerPercent > 0) {
+                soundPaces.push_back(other.millisecondsPerPercent / where->slowness);
+            }
+        }
+    }
+    if (soundPaces.size() > 1) {
+        const auto middle = soundPaces.begin() + static_cast<std::ptrdiff_t>(soundPaces.size() / 2);
+        std::nth_element(soundPaces.begin(), middle, soundPaces.end());
+        const double weight = soundPaces.size() >= detail::pacesForMedian ? detail::matesWeight : detail::mateWeight;
+        noteSpeed(*worker, member.millisecondsPerPercent / *middle, weight);
+    } else {
+        const double expected = static_cast<double>(m_estimates.expected(run.job->spec.queue, step).count()) / 100;
+        noteSpeed(*worker, member.millisecondsPerPercent / expected, detail::strangerWeight);
+    }
+}
+
 void Scheduler::noteEnd(Located &run, const EndReport &end, Instant now)
 {
     Unit &unit = *run.unit;
@@ -271,14 +326,7 @@
     const auto position = static_cast<std::size_t>(&member - unit.members.data());
     if (end.kind == EndKind::Done && !step.perpetual) {
         if (!unit.done) {
-            const Duration ran = now - member.startedAt;
-            const Duration expected = m_estimates.expected(run.job->spec.queue, step);
-            if (worker != nullptr && ran.count() > 0 && !step.gang) {
-                constexpr double newestWeight = 0.3; // Speeds change within seconds; three runs settle them.
-                const double ratio = static_cast<double>(ran.count()) / static_cast<double>(expected.count());
-                worker->slowness += newestWeight * (std::clamp(ratio, 0.2, 10.0) - worker->slowness);
-            }
-            m_estimates.learn(run.job->spec.queue, ran);
+            m_estimates.learn(run.job->spec.queue, now - member.startedAt);
             finishUnit(*run.job, *run.occurrence, unit);
         }
         if (worker != nullptr) {
@@ -393,6 +441,7 @@
         member.phase = RunPhase::Running;
         member.startedAt = now;
         member.progressAt = now;
+        member.percentKnown = located.unit->checkpoint.empty();
         return;
     case StartOutcome::Unknown:
         member.phase = RunPhase::Uncertain;
@@ -459,6 +508,29 @@
     }
 }
 
+LearnedRecord Scheduler::learned() const
+{
+    LearnedRecord record;
+    for (const auto &[id, worker] : m_pool.all()) {
+        record.workers.push_back({id, worker.spec.incarnation.value, worker.slowness});
+    }
+    record.queues = m_estimates.estimates();
+    return record;
+}
+
+void Scheduler::restoreLearned(const LearnedRecord &learned)
+{
+    for (const WorkerSpeed &speed : learned.workers) {
+        Worker *worker = m_pool.find(speed.worker);
+        if (worker != nullptr && worker->spec.incarnation.value == speed.incarnation) {
+            worker->slowness = std::clamp(speed.slowness, detail::slownessLeast, detail::slownessMost);
+        }
+    }
+    for (const QueueEstimate &estimate : learned.queues) {
+        m_estimates.restore(estimate);
+    }
+}
+
 std::map<std::string, QueueView> Scheduler::queues() const
 {
     std::map<std::string, QueueView> views;
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -22,6 +22,8 @@
     Duration stopRetry{
         500}; ///< Until an unanswered stop is sent again; twice the time a healthy call takes under load.
     Duration stillMax{5'000}; ///< A run without any progress for this long is taken for hung; slow runs move by then.
+    std::uint32_t racksClaimedMax{2}; ///< Racks kept free for gangs at once; a third of a small pool.
+    Duration fastWait{1'000}; ///< An urgent job waits this long for fast workers; later it would be late there too.
     std::uint32_t startTries{3}; ///< Orders of one run before it is given up; two cover a lost answer and its retry.
 };
 
@@ -115,6 +117,10 @@
     /// Marks records for storing again after a store failure, so that the next decision holds them.
     void recordAgain(const Decision &lost);
 
+    LearnedRecord learned() const;
+    /// Takes in what a predecessor learned, once the workers are registered.
+    void restoreLearned(const LearnedRecord &learned);
+
     const WorkerPool &workers() const
     {
         return m_pool;
@@ -178,9 +184,16 @@
     void place(Decision &decision, Instant now, Instant wall);
     std::vector<ReadyStep> readySteps(Instant wall);
     bool turnHasCome(const Job &job, const Occurrence &occurrence, std::uint32_t step) const;
-    bool placeStep(const ReadyStep &ready, Decision &decision, Instant now);
-    bool reclaim(const ReadyStep &ready, Decision &decision, Instant now);
+    bool placeReady(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
+                    const std::set<std::string> &closedRacks);
+    bool placeStep(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base);
+    bool reclaim(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base);
+    void claimRack(const ReadyStep &ready, Instant now, std::set<std::string> &closedRacks);
+    std::map<WorkerId, double> workLeft(Instant now);
+    void learnPace(const Located &run, std::uint32_t percent, Instant now);
+    static void noteSpeed(Worker &worker, double ratio, double weight);
     bool withinGuarantee(const Job &job, const StepSpec &step, std::size_t tasks) const;
+    bool endsSoon(const Located &run, Instant now) const;
     double lossOf(const Job &job, const Unit &unit, Instant now) const;
     void assign(Job &job, Occurrence &occurrence, Unit &unit, const std::vector<WorkerId> &chosen, RunPhase phase,
                 Instant now);
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -13,7 +13,20 @@
 constexpr double objectivesUntilWorthless = 3; // A job that is later than this earns its callers nothing more.
 constexpr double acceleratorCores = 8; // What an accelerator-second counts in core-seconds.
 constexpr Duration checkpointLoss{1'000}; // Work since the last checkpoint, when progress is saved.
-constexpr double evictionShare = 0.5; // Beyond the guarantee, most work lost for each core-second the urgent job needs.
+// Beyond a guarantee, most work lost for each core-second that the beneficiary needs. An urgent job that starts late
+// loses four fifths of its worth, which is four times that of other work of its size.
+constexpr double urgentEvictionShare = 0.5;
+constexpr double evictionShare = 0.1;
+constexpr double evictedBefore = 0.5; // Added to a victim's cost for each time before, as a share of its whole work.
+constexpr Duration endsSoon{-100000}; // A run that ends by itself within a stop's time is waited for instead.
+constexpr double anyPace = 100;
+constexpr double wholePace = 1.4; // Gangs keep to workers at most this much slower than usual while there are enough.
+// Scores of a placement for a worker that needs twice the usual time: urgent work goes to a fast worker even when that
+// splits an empty one, other work that has the time leaves fast workers to it, late work takes what is fast.
+constexpr double urgentSlownessWeight = 12;
+constexpr double patientSlownessWeight = 1;
+constexpr double lateSlownessWeight = 4;
+constexpr double stretchReserve = 0.1; // Of the stretch, for the way to the worker and back.
 
 double coresOf(const Resources &need)
 {
@@ -67,9 +80,10 @@
         }
     }
     const auto key = [](const ReadyStep &step) {
-        // Urgent jobs go first while anything can still be earned with them; the rest by what can still be on time.
+        // Urgent jobs go first while anything can still be earned with them, each by its next deadline: to be on time,
+        // or, once that is missed, to be worth anything.
         const bool urgent = step.priority == 0;
-        return std::tuple(step.lateness == 2, !urgent, step.lateness, step.latestStart, step.job->spec.id);
+        return std::tuple(step.lateness == 2, !urgent, step.latestStart, step.job->spec.id);
     };
     std::sort(ready.begin(), ready.end(), [&](const ReadyStep &left, const ReadyStep &right) {
         return key(left) < key(right);
@@ -85,7 +99,6 @@
     request.service = job.policy.service;
     request.tasks = tasks;
     request.atLeast = step.gang ? tasks : 1;
-    request.preferFast = job.policy.priority == 0;
     if (step.tasksPerWorkerMax > 0) {
         for (const Unit &unit : occurrence.units) {
             if (&stepOf(job, unit) != &step) {
@@ -107,6 +120,7 @@
     using Shape
         = std::tuple<std::string, std::int64_t, std::int64_t, std::int64_t, std::string, std::string, std::uint32_t>;
     std::set<Shape> full;
+    std::set<std::string> closedRacks;
     for (const ReadyStep &ready : readySteps(wall)) {
         const StepSpec &step = ready.job->spec.steps[ready.step];
         const Resources claim = batch::claimOf(step);
@@ -117,11 +131,11 @@
         if (full.contains(shape) && !urgent) {
             continue;
         }
-        if (placeStep(ready, decision, now)) {
+        if (placeReady(ready, decision, now, wall, closedRacks)) {
             continue;
         }
-        if (urgent && reclaim(ready, decision, now)) {
-            continue;
+        if (step.gang && !urgent) {
+            claimRack(ready, now, closedRacks);
         }
         if (step.tasksPerWorkerMax == 0) {
             full.insert(shape);
@@ -129,13 +143,86 @@
     }
 }
 
-bool Scheduler::placeStep(const ReadyStep &ready, Decision &decision, Instant now)
+bool Scheduler::placeReady(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
+                           const std::set<std::string> &closedRacks)
+{
+    const StepSpec &step = ready.job->spec.steps[ready.step];
+    PlacementRequest base = requestFor(*ready.job, *ready.occurrence, step, 1);
+    if (ready.priority != 0) {
+        base.closedRacks = &closedRacks;
+        const Duration slack = ready.latestStart - wall;
+        const Duration expected = m_estimates.expected(ready.job->spec.queue, step);
+        base.slownessWeight = slack > expected ? detail::patientSlownessWeight : detail::lateSlownessWeight;
+        if (step.gang) {
+            // The slowest member holds up all others, which keep their room.
+            base.slownessMax = detail::wholePace;
+            if (placeStep(ready, decision, now, base) || reclaim(ready, decision, now, base)) {
+                return true;
+            }
+            base.slownessMax = std::numeric_limits<double>::max();
+        }
+        return placeStep(ready, decision, now, base) || (step.gang && reclaim(ready, decision, now, base));
+    }
+    base.slownessWeight = detail::urgentSlownessWeight;
+    // On a worker slower than its stretch allows, an urgent job is late however early it starts.
+    base.slownessMax = std::max(1.0, ready.job->policy.stretch - detail::stretchReserve);
+    if (placeStep(ready, decision, now, base) || reclaim(ready, decision, now, base)) {
+        return true;
+    }
+    const bool guaranteed = withinGuarantee(*ready.job, step, step.gang ? step.taskCount : ready.units.size());
+    const bool stillFast = !guaranteed && ready.lateness == 0 && wall - ready.occurrence->dueAt < m_settings.fastWait;
+    if (stillFast) {
+        return false;
+    }
+    base.slownessMax = std::numeric_limits<double>::max();
+    return placeStep(ready, decision, now, base) || reclaim(ready, decision, now, base);
+}
+
+std::map<WorkerId, double> Scheduler::workLeft(Instant now)
+{
+    std::map<WorkerId, double> left;
+    for (const auto &[id, runs] : m_runsOn) {
+        const Worker *worker = m_pool.find(id);
+        for (const RunRef &ref : runs) {
+            const Located run = locate(ref);
+            const Duration expected = m_estimates.expected(run.job->spec.queue, stepOf(*run.job, *run.unit));
+            const double whole = static_cast<double>(expected.count()) * (worker == nullptr ? 1 : worker->slowness);
+            const auto percent = static_cast<double>(std::min(run.member->percent, 100U));
+            const double pace = run.member->millisecondsPerPercent;
+            const double passed = static_cast<double>((now - run.unit->startedAt).count());
+            const double remaining = pace > 0 ? pace * (100 - percent) : std::max(whole - passed, whole / 10);
+            left[id] += remaining / 1'000 * detail::coresOf(claimOf(*run.job, *run.unit));
+        }
+    }
+    return left;
+}
+
+void Scheduler::claimRack(const ReadyStep &ready, Instant now, std::set<std::string> &closedRacks)
+{
+    const StepSpec &step = ready.job->spec.steps[ready.step];
+    Unit &unit = *ready.units.front();
+    if (ready.lateness == 2 || closedRacks.size() >= m_settings.racksClaimedMax) {
+        return;
+    }
+    PlacementRequest request = requestFor(*ready.job, *ready.occurrence, step, step.taskCount);
+    request.closedRacks = &closedRacks;
+    if (unit.claimedRack.empty() || closedRacks.contains(unit.claimedRack)) {
+        unit.claimedRack = Placement(m_pool, now).rackToClaim(request, workLeft(now));
+    }
+    if (!unit.claimedRack.empty()) {
+        closedRacks.insert(unit.claimedRack);
+    }
+}
+
+bool Scheduler::placeStep(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base)
 {
     const StepSpec &step = ready.job->spec.steps[ready.step];
     const Placement placement(m_pool, now);
     if (step.gang) {
         Unit &unit = *ready.units.front();
-        PlacementRequest request = requestFor(*ready.job, *ready.occurrence, step, step.taskCount);
+        PlacementRequest request = base;
+        request.tasks = step.taskCount;
+        request.atLeast = step.taskCount;
         request.avoided = unit.avoided;
         const auto chosen = placement.find(request);
         if (!chosen) {
@@ -149,11 +236,15 @@
     std::vector<Unit *> together;
     bool all = true;
     for (Unit *unit : ready.units) {
+        if (!unit->waiting()) {
+            continue;
+        }
         if (unit->avoided.value.empty()) {
             together.push_back(unit);
             continue;
         }
-        PlacementRequest request = requestFor(*ready.job, *ready.occurrence, step, 1);
+        PlacementRequest request = base;
+        request.stepTasks = requestFor(*ready.job, *ready.occurrence, step, 1).stepTasks;
         request.avoided = unit->avoided;
         if (const auto chosen = placement.find(request)) {
             assign(*ready.job, *ready.occurrence, *unit, *chosen, RunPhase::Planned, now);
@@ -165,7 +256,9 @@
     if (together.empty()) {
         return all;
     }
-    const auto request = requestFor(*ready.job, *ready.occurrence, step, static_cast<std::uint32_t>(together.size()));
+    PlacementRequest request = base;
+    request.stepTasks = requestFor(*ready.job, *ready.occurrence, step, 1).stepTasks;
+    request.tasks = static_cast<std::uint32_t>(together.size());
     const auto chosen = placement.find(request);
     const std::size_t placed = chosen ? chosen->size() : 0;
     for (std::size_t i = 0; i < placed; ++i) {
@@ -186,6 +279,17 @@
     return used + step.need.accelerators * static_cast<std::int64_t>(tasks) <= guarantee->second;
 }
 
+bool Scheduler::endsSoon(const Located &run, Instant now) const
+{
+    const Member &member = *run.member;
+    if (member.millisecondsPerPercent <= 0 || stepOf(*run.job, *run.unit).gang) {
+        return false;
+    }
+    const double left = member.millisecondsPerPercent * (100.0 - std::min(member.percent, 100U))
+        - static_cast<double>((now - member.progressAt).count());
+    return left <= static_cast<double>(detail::endsSoon.count());
+}
+
 double Scheduler::lossOf(const Job &job, const Unit &unit, Instant now) const
 {
     const StepSpec &step = stepOf(job, unit);
@@ -193,11 +297,13 @@
     if (step.savesProgress) {
         lost = std::min(lost, detail::checkpointLoss);
     }
-    return detail::coresOf(step.need) * static_cast<double>(unit.members.size())
-        * std::chrono::duration<double>(lost).count();
+    const double cores = detail::coresOf(step.need) * static_cast<double>(unit.members.size());
+    const Duration whole = m_estimates.expected(job.spec.queue, step);
+    return cores * std::chrono::duration<double>(lost).count()
+        + detail::evictedBefore * unit.evictions * cores * std::chrono::duration<double>(whole).count();
 }
 
-bool Scheduler::reclaim(const ReadyStep &ready, Decision &decision, Instant now)
+bool Scheduler::reclaim(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base)
 {
     Job &job = *ready.job;
     const StepSpec &step = job.spec.steps[ready.step];
@@ -211,7 +317,8 @@
         return true;
     }
     const std::uint32_t tasks = step.gang ? step.taskCount : static_cast<std::uint32_t>(waiting.size());
-    const bool guaranteed = withinGuarantee(job, step, tasks);
+    const bool guaranteed = ready.priority == 0 && withinGuarantee(job, step, tasks);
+    const double share = ready.priority == 0 ? detail::urgentEvictionShare : detail::evictionShare;
 
     struct Victim
     {
@@ -225,12 +332,12 @@
         for (const RunRef &ref : runs) {
             const Located run = locate(ref);
             const Resources room = claimOf(*run.job, *run.unit);
-            if (run.unit->abandoned || run.unit->done) {
+            if (run.unit->abandoned || run.unit->done || endsSoon(run, now)) {
                 evictable[id].room += room;
                 continue;
             }
             const bool held = run.member->phase == RunPhase::Reserved;
-            if (held || run.job->policy.priority == 0 || stepOf(*run.job, *run.unit).perpetual) {
+            if (held || run.job->policy.priority <= ready.priority || stepOf(*run.job, *run.unit).perpetual) {
                 continue;
             }
             const double cost = lossOf(*run.job, *run.unit, now);
@@ -239,7 +346,8 @@
             victims[id].push_back({run, cost, room});
         }
     }
-    PlacementRequest request = requestFor(job, *ready.occurrence, step, tasks);
+    PlacementRequest request = base;
+    request.tasks = tasks;
     request.atLeast = tasks;
     const auto chosen = Placement(m_pool, now).findWithEviction(request, evictable);
     if (!chosen) {
@@ -257,7 +365,7 @@
         Resources room = m_pool.find(id)->free();
         for (const RunRef &ref : m_runsOn[id]) {
             const Located run = locate(ref);
-            if (run.unit->abandoned || run.unit->done || stopped.contains(run.unit)) {
+            if (run.unit->abandoned || run.unit->done || stopped.contains(run.unit) || endsSoon(run, now)) {
                 room += claimOf(*run.job, *run.unit);
             }
         }
@@ -291,10 +399,11 @@
     }
     const double needed = detail::coresOf(step.need) * tasks
         * std::chrono::duration<double>(m_estimates.expected(job.spec.queue, step)).count();
-    if (!guaranteed && lost > detail::evictionShare * needed) {
+    if ((!guaranteed || base.slownessMax < detail::anyPace) && lost > share * needed) {
         return false;
     }
     for (Unit *unit : stopped) {
+        ++unit->evictions;
         abandon(*unit);
     }
     decision.evictions.insert(decision.evictions.end(), evictions.begin(), evictions.end());
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -164,6 +164,7 @@
     }
     unit.startedAt = now;
     unit.abandoned = false;
+    unit.claimedRack.clear();
 }
 
 void Scheduler::plan(Job &job, Occurrence &occurrence, Unit &unit, Decision &decision)
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -31,8 +31,10 @@
     bool stopAnswered{};
     Instant stopSentAt;
     std::uint32_t startTries{};
-    std::uint32_t percent{};
+    std::uint32_t percent{}; ///< Of the task's work.
+    bool percentKnown{}; ///< Reported at least once, or the run began at zero.
     Instant progressAt; ///< When percent last changed.
+    double millisecondsPerPercent{}; ///< Latest pace of the run; 0 before two reports.
     Instant startedAt;
 };
 
@@ -49,6 +51,8 @@
     std::string checkpoint;
     std::vector<Member> members; ///< Empty while the unit waits.
     WorkerId avoided; ///< Where its last run failed or stood still.
+    std::uint32_t evictions{}; ///< Times that it gave way to more urgent work.
+    std::string claimedRack; ///< Kept free of later work until this gang fits there.
     Instant waitingSince;
     Instant startedAt;
 
--- /dev/null
+++ b/tests/platform/wire_records_test.cpp
@@ -0,0 +1,107 @@
+#include "heatherquay/error.hpp"
+#include "platform/wire_json.hpp"
+#include "platform/wire_records.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace heatherquay;
+using namespace heatherquay::platform;
+
+BOOST_AUTO_TEST_SUITE(platform_wire_records)
+
+BOOST_AUTO_TEST_CASE(a_submission_is_read)
+{
+    const auto job = parseSubmission(R"({"spec":"text","steps":[
+        {"count":4,"cpu":500,"memMb":256,"gpu":2,"estimateMs":900,"affinity":"r1-3","gang":true,"sameRack":true},
+        {"count":20,"cpu":2000,"after":[0],"savesProgress":true,"antiAffinity":3,"requirements":"a"}],
+        "repetitions":3,"firstRunMs":1000,"intervalMs":500,"unheardOf":1})");
+    BOOST_TEST(job.payload == "text");
+    BOOST_REQUIRE(job.steps.size() == 2U);
+    BOOST_TEST(job.steps[0].need.accelerators == 2);
+    BOOST_TEST(job.steps[0].dataRack == "r1-3");
+    BOOST_TEST(job.steps[0].gang);
+    BOOST_TEST(job.steps[0].sameRack);
+    BOOST_TEST(job.steps[1].after.size() == 1U);
+    BOOST_TEST(job.steps[1].tasksPerWorkerMax == 3U);
+    BOOST_TEST(job.steps[1].requiredLabel == "a");
+    BOOST_TEST(job.repetitions == 3U);
+    BOOST_TEST(job.interval.count() == 500);
+}
+
+BOOST_DATA_TEST_CASE(
+    a_malformed_submission_is_refused,
+    boost::unit_test::data::make({"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+                                  R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1,"cpu":"x"}]})",
+                                  R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":100000000}]})"}),
+    text)
+{
+    BOOST_CHECK_THROW(parseSubmission(text), Error);
+}
+
+BOOST_AUTO_TEST_CASE(a_payload_beyond_the_limit_is_refused)
+{
+    const std::string body = R"({"spec":")" + std::string(4'001, 'x') + R"(","steps":[{"count":1}]})";
+    BOOST_CHECK_THROW(parseSubmission(body), Error);
+}
+
+BOOST_AUTO_TEST_CASE(a_registration_is_read)
+{
+    const auto worker
+        = parseWorker("i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,
+        "state":"draining","capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"born":1700000000000})");
+    BOOST_REQUIRE(worker.has_value());
+    BOOST_TEST(worker->draining);
+    BOOST_TEST(worker->rack == "r1-3");
+    BOOST_TEST(worker->capacity.accelerators == 8);
+    BOOST_TEST(worker->incarnation.value == 1'700'000'000'000);
+}
+
+BOOST_DATA_TEST_CASE(
+    an_entry_of_another_writer_names_no_worker,
+    boost::unit_test::data::make({"", "17", R"({"service":"s"})",
+                                  R"({"service":"s","address":"a","state":"resting","capacity":{"cpu":1}})",
+                                  R"({"service":"s","address":"a","state":"ready","capacity":"large"})",
+                                  R"({"service":4,"address":"a","state":"ready","capacity":{"cpu":1}})"}),
+    text)
+{
+    BOOST_TEST(!parseWorker("i-1", text).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_and_the_host_select_the_queue)
+{
+    const auto table = parseQueueTable(R"({"version":7,"routes":[
+        {"name":"short","host":"h.example","prefix":"/a/","service":"s","priority":2},
+        {"name":"long","host":"h.example","prefix":"/a/b/","service":"s","priority":0,"maxAttempts":4,"stretch":1.5,
+         "latencyTargetMs":250,"anonymous":true},
+        {"name":"other","host":"o.example","prefix":"/a/","service":"s"}],
+        "tenants":[{"name":"t","apiKeys":["k1","k2"],"guaranteed":{"gpu":72}}]})");
+    BOOST_TEST(table.version == 7U);
+    BOOST_REQUIRE(table.findQueue("h.example", "/a/b/0123") != nullptr);
+    BOOST_TEST(table.findQueue("H.example:80", "/a/b/0123")->name == "long");
+    BOOST_TEST(table.findQueue("h.example", "/a/0123")->name == "short");
+    BOOST_TEST(table.findQueue("o.example", "/a/b/0123")->name == "other");
+    BOOST_TEST(table.findQueue("o.example", "/b/") == nullptr);
+    BOOST_TEST(table.findTeam("k2")->value == "t");
+    BOOST_TEST(!table.findTeam("k3").has_value());
+    BOOST_TEST(table.guarantees().front().accelerators == 72);
+    BOOST_TEST(table.policies().at("long").stretch == 1.5);
+}
+
+BOOST_DATA_TEST_CASE(base64_of_every_length_is_read_back, boost::unit_test::data::xrange(0, 20), length)
+{
+    std::string bytes;
+    for (int i = 0; i < length; ++i) {
+        bytes += static_cast<char>(i * 37);
+    }
+    BOOST_TEST(decodeBase64(encodeBase64(bytes)).value() == bytes);
+}
+
+BOOST_AUTO_TEST_CASE(malformed_base64_is_told)
+{
+    BOOST_TEST(!decodeBase64("abc").has_value());
+    BOOST_TEST(!decodeBase64("ab!=").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
