Choose what gives way to urgent work run by run, and repeat unanswered orders sooner

Cause: the room that a worker could give back was judged by all that runs there, so that urgent tasks of one accelerator went where a whole gang would have been stopped; stopped gangs made up half of the wasted core-seconds. An unanswered order held its gang up for a second. Change: victims are counted one by one, cheapest first; a gang counts twice; each earlier eviction raises the price; work that loses its progress keeps together; an order without an answer is repeated after 0.3 s.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -32,7 +32,8 @@
     std::chrono::milliseconds lookWait{1'500}; ///< A worker holds its answer for an end this long.
     std::chrono::milliseconds lookGrace{900}; ///< For the answer itself, before the worker counts as silent.
     std::chrono::milliseconds lookRetry{150};
-    std::chrono::milliseconds orderTimeout{700};
+    std::chrono::milliseconds orderTimeout{
+        300}; ///< A healthy worker answers within ten; the same order again is harmless.
     std::chrono::milliseconds recordWait{400}; ///< For the record of an end before it is asked for again.
     std::chrono::milliseconds forgetAfter{180'000}; ///< Ended jobs are kept this long for callers.
     double slowClock{0.98}; ///< A worker's clock may run this slowly.
--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -12,6 +12,8 @@
 // Weights of a task's fit: the lowest score wins.
 constexpr double acceleratorLeftWeight = 1.0; // Per accelerator left free, so that empty workers stay whole.
 constexpr double processorLeftWeight = 0.5; // For a whole worker's processors left free.
+constexpr double mixedWeight
+    = 3.0; // For work that saves progress beside work that does not; as three accelerators left.
 constexpr double avoidedWeight = 1'000.0; // The worker of the last failure comes last.
 constexpr double evictionWeight = 0.1; // Per core-second that would be lost.
 
@@ -64,28 +66,40 @@
             || (request.closedRacks != nullptr && request.closedRacks->contains(worker.spec.rack))) {
             continue;
         }
-        Candidate candidate{
-            &worker, worker.free(), {}, 0, std::numeric_limits<std::uint32_t>::max(), id == request.avoided};
+        Candidate candidate{&worker, worker.free(), std::numeric_limits<std::uint32_t>::max(), id == request.avoided};
         if (step.tasksPerWorkerMax > 0) {
             const auto there = request.stepTasks.find(id);
             const std::uint32_t running = there == request.stepTasks.end() ? 0 : there->second;
             candidate.tasksLeft = running >= step.tasksPerWorkerMax ? 0 : step.tasksPerWorkerMax - running;
         }
         if (evictable != nullptr) {
-            if (const auto victims = evictable->find(id); victims != evictable->end()) {
-                candidate.evictableRoom = victims->second.room;
-                candidate.evictionCost = victims->second.cost;
+            if (const auto there = evictable->find(id); there != evictable->end()) {
+                candidate.evictable = &there->second;
+                candidate.room += there->second.roomSoon;
             }
         }
-        Resources most = candidate.room;
-        most += candidate.evictableRoom;
-        if (candidate.tasksLeft > 0 && claim.fitsIn(most)) {
+        Candidate trial = candidate;
+        if (candidate.tasksLeft > 0 && trial.makeRoom(claim)) {
             found.push_back(candidate);
         }
     }
     return found;
 }
 
+std::optional<double> Placement::Candidate::makeRoom(const Resources &claim)
+{
+    double cost = 0;
+    while (!claim.fitsIn(room)) {
+        if (evictable == nullptr || evicted == evictable->runs.size()) {
+            return std::nullopt;
+        }
+        room += evictable->runs[evicted].room;
+        cost += evictable->runs[evicted].cost;
+        ++evicted;
+    }
+    return cost;
+}
+
 std::optional<std::vector<WorkerId>> Placement::fill(Candidates pool, const PlacementRequest &request,
                                                      double &cost) const
 {
@@ -97,26 +111,28 @@
         Candidate *best = nullptr;
         double bestScore = std::numeric_limits<double>::max();
         for (Candidate &candidate : pool) {
-            Resources most = candidate.room;
-            most += candidate.evictableRoom;
-            if (candidate.tasksLeft == 0 || !claim.fitsIn(most)) {
+            Candidate after = candidate;
+            const auto evictionCost = after.makeRoom(claim);
+            if (candidate.tasksLeft == 0 || !evictionCost) {
                 continue;
             }
-            const Resources left = [&] {
-                Resources room = candidate.room;
-                room -= claim;
-                return room;
-            }();
+            after.room -= claim;
+            const Resources &left = after.room;
             double score
                 = detail::acceleratorLeftWeight * static_cast<double>(std::max<std::int64_t>(left.accelerators, 0))
                 + detail::processorLeftWeight * static_cast<double>(std::max<std::int64_t>(left.cpuMillicores, 0))
                     / static_cast<double>(std::max<std::int64_t>(candidate.worker->spec.capacity.cpuMillicores, 1))
                 + request.slownessWeight * std::clamp(candidate.worker->slowness - 1, -0.5, 1.5);
+            // Work that cannot be stopped without loss keeps together, so that urgent work finds room elsewhere.
+            const bool firmThere = candidate.worker->firmRuns > 0;
+            if (!request.urgent && firmThere == request.step->savesProgress) {
+                score += detail::mixedWeight;
+            }
             if (candidate.avoided) {
                 score += detail::avoidedWeight;
             }
-            if (!claim.fitsIn(candidate.room)) {
-                score += detail::evictionWeight * candidate.evictionCost + 1;
+            if (after.evicted > candidate.evicted) {
+                score += detail::evictionWeight * *evictionCost + 1;
             }
             if (score < bestScore) {
                 bestScore = score;
@@ -126,6 +142,7 @@
         if (best == nullptr) {
             break;
         }
+        best->makeRoom(claim);
         best->room -= claim;
         --best->tasksLeft;
         cost += bestScore;
@@ -154,7 +171,7 @@
             && (step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel))) {
             const std::uint32_t most
                 = step.tasksPerWorkerMax > 0 ? step.tasksPerWorkerMax : std::numeric_limits<std::uint32_t>::max();
-            racks[worker.spec.rack].push_back({&worker, {}, {}, 0, most, false});
+            racks[worker.spec.rack].push_back({&worker, {}, most});
         }
     }
     return racks;
--- a/src/heatherquay/state/batch/placement.hpp
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -22,15 +22,23 @@
     /// Tasks of the step that each worker already runs; filled only when the step bounds them.
     std::map<WorkerId, std::uint32_t> stepTasks;
     double slownessWeight{}; ///< Score for twice the usual run time; negative to leave fast workers to others.
+    bool urgent{};
     double slownessMax{std::numeric_limits<double>::max()}; ///< Slower workers are left out.
     const std::set<std::string> *closedRacks{}; ///< Kept free for others; null for none.
 };
 
-/// What would have to be stopped on a worker to make room.
+/// A run that could be stopped to make room.
+struct EvictableRun
+{
+    Resources room;
+    double cost{}; ///< Core-seconds that would be lost, over all workers of its gang.
+};
+
+/// What a worker could give back.
 struct Evictable
 {
-    Resources room; ///< That ends of the stopped runs would give back.
-    double cost{}; ///< Core-seconds that would be lost.
+    Resources roomSoon; ///< Of runs that are ending anyway.
+    std::vector<EvictableRun> runs; ///< Cheapest first.
 };
 
 /// Finds room for the tasks of a unit.
@@ -59,10 +67,13 @@
     {
         const Worker *worker{};
         Resources room; ///< Free now.
-        Resources evictableRoom;
-        double evictionCost{};
         std::uint32_t tasksLeft{}; ///< By the bound of tasks on one worker.
         bool avoided{};
+        const Evictable *evictable{};
+        std::size_t evicted{}; ///< So many of the evictable runs are already counted as stopped.
+
+        /// Counts runs as stopped until @p claim fits. @return the cost; nothing when it never fits
+        std::optional<double> makeRoom(const Resources &claim);
     };
     using Candidates = std::vector<Candidate>;
 
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -129,6 +129,7 @@
             Worker &worker = m_pool.require(id, leaseUntil);
             worker.used += claimOf(job, unit);
             ++worker.runs;
+            worker.firmRuns += isFirm(job, unit) ? 1 : 0;
             if (job.policy.priority == 0) {
                 m_urgentAccelerators[job.spec.team] += claimOf(job, unit).accelerators;
             }
@@ -409,6 +410,7 @@
     if (Worker *worker = m_pool.find(member.worker)) {
         worker->used -= claimOf(job, unit);
         --worker->runs;
+        worker->firmRuns -= isFirm(job, unit) ? 1 : 0;
         m_pool.forget(member.worker);
     }
 }
@@ -553,6 +555,11 @@
     return job.spec.steps[unit.step];
 }
 
+bool Scheduler::isFirm(const Job &job, const Unit &unit) const
+{
+    return job.spec.policy.priority != 0 && !stepOf(job, unit).savesProgress;
+}
+
 Resources Scheduler::claimOf(const Job &job, const Unit &unit) const
 {
     return batch::claimOf(stepOf(job, unit));
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -19,12 +19,12 @@
 struct SchedulerSettings
 {
     WorkerPoolSettings workers;
-    Duration stopRetry{
-        500}; ///< Until an unanswered stop is sent again; twice the time a healthy call takes under load.
+    Duration stopRetry{350}; ///< Until an unanswered stop is sent again; just above the time that a call is given.
+    Duration startRetry{30}; ///< After a start without an answer; its gang waits.
     Duration stillMax{5'000}; ///< A run without any progress for this long is taken for hung; slow runs move by then.
     std::uint32_t racksClaimedMax{2}; ///< Racks kept free for gangs at once; a third of a small pool.
     Duration fastWait{1'000}; ///< An urgent job waits this long for fast workers; later it would be late there too.
-    std::uint32_t startTries{3}; ///< Orders of one run before it is given up; two cover a lost answer and its retry.
+    std::uint32_t startTries{4}; ///< Orders of one run before it is given up, within the time that its gang waits.
 };
 
 /// Start one task; sent only after its record is stored.
@@ -162,6 +162,8 @@
     Located locate(const TaskId &task, std::uint32_t run);
     Located locate(const RunRef &ref);
     const StepSpec &stepOf(const Job &job, const Unit &unit) const;
+    /// @return whether stopping the unit's runs loses work that may be given up for urgent jobs
+    bool isFirm(const Job &job, const Unit &unit) const;
     Resources claimOf(const Job &job, const Unit &unit) const;
     static TaskId taskOf(const Job &job, const Occurrence &occurrence, const Unit &unit, std::size_t member);
     static std::uint32_t unitIndex(const Job &job, std::uint32_t step, std::uint32_t index);
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -15,11 +15,11 @@
 constexpr Duration checkpointLoss{1'000}; // Work since the last checkpoint, when progress is saved.
 // Beyond a guarantee, most work lost for each core-second that the beneficiary needs. An urgent job that starts late
 // loses four fifths of its worth, which is four times that of other work of its size.
-constexpr double urgentEvictionShare = 0.5;
+constexpr double urgentEvictionShare = 1.5;
 constexpr double evictionShare = 0.1;
+constexpr double gangVictim = 2; // A stopped gang needs a whole rack again.
 constexpr double evictedBefore = 0.5; // Added to a victim's cost for each time before, as a share of its whole work.
 constexpr Duration endsSoon{-100000}; // A run that ends by itself within a stop's time is waited for instead.
-constexpr double anyPace = 100;
 constexpr double wholePace = 1.4; // Gangs keep to workers at most this much slower than usual while there are enough.
 // Scores of a placement for a worker that needs twice the usual time: urgent work goes to a fast worker even when that
 // splits an empty one, other work that has the time leaves fast workers to it, late work takes what is fast.
@@ -163,6 +163,7 @@
         }
         return placeStep(ready, decision, now, base) || (step.gang && reclaim(ready, decision, now, base));
     }
+    base.urgent = true;
     base.slownessWeight = detail::urgentSlownessWeight;
     // On a worker slower than its stretch allows, an urgent job is late however early it starts.
     base.slownessMax = std::max(1.0, ready.job->policy.stretch - detail::stretchReserve);
@@ -297,10 +298,8 @@
     if (step.savesProgress) {
         lost = std::min(lost, detail::checkpointLoss);
     }
-    const double cores = detail::coresOf(step.need) * static_cast<double>(unit.members.size());
-    const Duration whole = m_estimates.expected(job.spec.queue, step);
-    return cores * std::chrono::duration<double>(lost).count()
-        + detail::evictedBefore * unit.evictions * cores * std::chrono::duration<double>(whole).count();
+    return detail::coresOf(step.need) * static_cast<double>(unit.members.size())
+        * std::chrono::duration<double>(lost).count();
 }
 
 bool Scheduler::reclaim(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base)
@@ -323,7 +322,8 @@
     struct Victim
     {
         Located run;
-        double cost{};
+        double lost{}; ///< Core-seconds.
+        double cost{}; ///< Grows with each time that the unit gave way, so that the same one is not always chosen.
         Resources room;
     };
     std::map<WorkerId, Evictable> evictable;
@@ -333,17 +333,28 @@
             const Located run = locate(ref);
             const Resources room = claimOf(*run.job, *run.unit);
             if (run.unit->abandoned || run.unit->done || endsSoon(run, now)) {
-                evictable[id].room += room;
+                evictable[id].roomSoon += room;
                 continue;
             }
             const bool held = run.member->phase == RunPhase::Reserved;
             if (held || run.job->policy.priority <= ready.priority || stepOf(*run.job, *run.unit).perpetual) {
                 continue;
             }
-            const double cost = lossOf(*run.job, *run.unit, now);
-            evictable[id].room += room;
-            evictable[id].cost += cost;
-            victims[id].push_back({run, cost, room});
+            const double loss = lossOf(*run.job, *run.unit, now);
+            const Duration whole = m_estimates.expected(run.job->spec.queue, stepOf(*run.job, *run.unit));
+            const bool gang = stepOf(*run.job, *run.unit).gang;
+            const double cost = loss * (gang ? detail::gangVictim : 1)
+                + detail::evictedBefore * run.unit->evictions * detail::coresOf(room)
+                    * static_cast<double>(run.unit->members.size()) * std::chrono::duration<double>(whole).count();
+            victims[id].push_back({run, loss, cost, room});
+        }
+    }
+    for (auto &[id, candidates] : victims) {
+        std::sort(candidates.begin(), candidates.end(), [](const Victim &left, const Victim &right) {
+            return left.cost < right.cost;
+        });
+        for (const Victim &victim : candidates) {
+            evictable[id].runs.push_back({victim.room, victim.cost});
         }
     }
     PlacementRequest request = base;
@@ -373,10 +384,7 @@
         for (std::uint32_t i = 0; i < count; ++i) {
             need += batch::claimOf(step);
         }
-        std::vector<Victim> &candidates = victims[id];
-        std::sort(candidates.begin(), candidates.end(), [](const Victim &left, const Victim &right) {
-            return left.cost < right.cost;
-        });
+        const std::vector<Victim> &candidates = victims[id];
         for (const Victim &victim : candidates) {
             if (need.fitsIn(room)) {
                 break;
@@ -389,9 +397,9 @@
                     room += victim.room;
                 }
             }
-            lost += victim.cost;
+            lost += victim.lost;
             evictions.push_back(
-                {taskOf(*victim.run.job, *victim.run.occurrence, *victim.run.unit, 0), job.spec.id, victim.cost});
+                {taskOf(*victim.run.job, *victim.run.occurrence, *victim.run.unit, 0), job.spec.id, victim.lost});
         }
         if (!need.fitsIn(room)) {
             return false;
@@ -399,7 +407,7 @@
     }
     const double needed = detail::coresOf(step.need) * tasks
         * std::chrono::duration<double>(m_estimates.expected(job.spec.queue, step)).count();
-    if ((!guaranteed || base.slownessMax < detail::anyPace) && lost > share * needed) {
+    if (!guaranteed && lost > share * needed) {
         return false;
     }
     for (Unit *unit : stopped) {
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -156,6 +156,7 @@
         member.progressAt = now;
         worker.used += claimOf(job, unit);
         ++worker.runs;
+        worker.firmRuns += isFirm(job, unit) ? 1 : 0;
         m_runsOn[chosen[i]].insert({job.spec.id, occurrence.number, position, i});
     }
     if (job.policy.priority == 0) {
@@ -205,7 +206,7 @@
             }
             // The same order again is harmless: a worker starts a run once.
             const bool retryDue = member.phase == RunPhase::Uncertain && !member.stopWanted
-                && member.startTries < m_settings.startTries && now >= member.settledAt + m_settings.stopRetry / 2;
+                && member.startTries < m_settings.startTries && now >= member.settledAt + m_settings.startRetry;
             if (retryDue) {
                 member.phase = RunPhase::Ordered;
                 decision.starts.push_back(
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -26,6 +26,7 @@
     bool fenced{}; ///< Has answered this decider, so that orders of earlier ones are void there.
     Resources used; ///< Of all runs that may exist there, and of reservations.
     std::uint32_t runs{}; ///< Runs that may exist there.
+    std::uint32_t firmRuns{}; ///< Of these, runs of patient work that would be lost if they were stopped.
     Instant heardAt; ///< Last answer.
     bool silent{}; ///< The last call was not answered.
     Instant leaseUntil; ///< When the worker does not answer, all its runs have ended by then.
