Write logs without blocking, count what the decider does, and explain one job from the logs

Cause: the on-call engineer has only logs and metrics; the log blocked on its output and went to standard error.

--- a/src/heatherquay/app/command_line.cpp
+++ b/src/heatherquay/app/command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "heatherquay/app/entry.hpp"
 #include "heatherquay/app/exit_code.hpp"
+#include "heatherquay/app/log_reader.hpp"
 #include "heatherquay/app/operator_client.hpp"
 #include "heatherquay/app/operator_views.hpp"
 #include "heatherquay/app/settings_parser.hpp"
@@ -12,7 +13,9 @@
 #include "heatherquay/state/units.hpp"
 #include "heatherquay/transport/log.hpp"
 
+#include <fstream>
 #include <functional>
+#include <iostream>
 #include <optional>
 
 #include <boost/json.hpp>
@@ -37,6 +40,7 @@
     std::string configFile;
     std::string planId;
     std::string jobId;
+    std::vector<std::string> logFiles;
     state::TeamIntent team;
     state::GuaranteeIntent guarantee;
     state::JobIntent job;
@@ -61,6 +65,8 @@
     using View = void (*)(const std::string &, std::ostream &);
 
     void addServing();
+    void addExplain();
+    ExitCode explain();
     void addReading();
     void addPlanning();
     CLI::App *addIntent(CLI::App *plan, const char *name, const char *help, std::function<state::Intent()> intent);
@@ -102,6 +108,7 @@
     m_app.footer(footer);
     m_app.set_version_flag("--version", std::string("heatherquay " HEATHERQUAY_VERSION));
     addServing();
+    addExplain();
     addReading();
     addPlanning();
 }
@@ -153,6 +160,49 @@
     });
 }
 
+void CommandLine::addExplain()
+{
+    auto *command = m_app.add_subcommand("explain", "Print one job's history from the logs of all processes");
+    command->add_option("ID", m_arguments.jobId, "Id of the job")->required();
+    command->add_option("FILE", m_arguments.logFiles, "Log files; standard input when none is given");
+    command->add_flag("--json", m_arguments.json, "Print the history as JSON");
+    command->footer(footer);
+    command->callback([this] {
+        m_action = [this] {
+            return explain();
+        };
+    });
+}
+
+ExitCode CommandLine::explain()
+{
+    std::vector<LogLine> lines;
+    for (const std::string &path : m_arguments.logFiles) {
+        std::ifstream file(path);
+        if (!file) {
+            throw Error(ErrorKind::NotFound, "cannot read " + path, "name the log file of a process");
+        }
+        const std::vector<LogLine> read = readLog(file, path);
+        lines.insert(lines.end(), read.begin(), read.end());
+    }
+    if (m_arguments.logFiles.empty()) {
+        lines = readLog(std::cin, "-");
+    }
+    const std::vector<LogLine> history = historyOf(m_arguments.jobId, std::move(lines));
+    if (m_arguments.json) {
+        m_out << toJson(history) << '\n';
+    } else {
+        for (const LogLine &line : history) {
+            m_out << toText(line) << '\n';
+        }
+    }
+    if (history.empty()) {
+        throw Error(ErrorKind::NotFound, "no line names job " + m_arguments.jobId,
+                    "give the logs of all processes from before the job was handed in");
+    }
+    return ExitCode::Ok;
+}
+
 void CommandLine::addRead(const char *name, const char *help, const char *target, View view)
 {
     auto *command = m_app.add_subcommand(name, help);
--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherquay/coordination/batch/decider_metrics.hpp"
 #include "heatherquay/coordination/batch/job_board.hpp"
 #include "heatherquay/coordination/batch/layout.hpp"
 #include "heatherquay/coordination/batch/record_writer.hpp"
@@ -53,6 +54,7 @@
     std::function<std::optional<state::batch::WorkerSpec>(const protocol::batch::StoredRow &)> readWorker;
     std::string workersTable;
     const JobBoard *board{};
+    DeciderMetrics *metrics{};
 };
 
 /// Decides while this process holds the term: follows jobs and workers, runs the scheduler, stores what it decides and
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -330,6 +330,7 @@
 {
     state::batch::Decision decision = m_scheduler.decide(now(), wall());
     report(decision);
+    m_ports.metrics->countDecision(decision);
     for (const auto &stop : decision.stops) {
         spawn(order(stop));
     }
@@ -353,6 +354,7 @@
     if (m_stopped) {
         co_return false;
     }
+    m_ports.metrics->countRecords(outcome == WriteOutcome::Stored);
     if (outcome == WriteOutcome::Deposed) {
         m_ports.depose("the store refused a record");
         co_return false;
@@ -383,7 +385,11 @@
 {
     for (const auto &status : decision.statuses) {
         transport::log(transport::LogLevel::Info, "job-state",
-                       {{"job", status.job.value}, {"state", protocol::batch::encodeStatus(status)}});
+                       {{"job", status.job.value},
+                        {"queue", status.queue},
+                        {"state", stateName(status.state)},
+                        {"age_ms", std::to_string(status.age.count())},
+                        {"token", std::to_string(m_token.value)}});
     }
     for (const auto &eviction : decision.evictions) {
         transport::log(transport::LogLevel::Info, "run-evicted",
@@ -444,7 +450,11 @@
                    {{"task", toString(start.task)},
                     {"run", std::to_string(start.run)},
                     {"worker", start.worker.value},
+                    {"incarnation", std::to_string(start.incarnation.value)},
+                    {"checkpoint", start.checkpoint},
+                    {"token", std::to_string(m_token.value)},
                     {"outcome", started ? "started" : answer.failure}});
+    m_ports.metrics->countStart(outcome);
     m_scheduler.startAnswered(start.task, start.run, outcome, now());
     if (answer.status == CallStatus::Fenced) {
         m_ports.depose("a worker has seen a higher token");
@@ -469,7 +479,9 @@
                    {{"task", toString(stop.task)},
                     {"run", std::to_string(stop.run)},
                     {"worker", stop.worker.value},
+                    {"token", std::to_string(m_token.value)},
                     {"outcome", answer.failure.empty() ? "answered" : answer.failure}});
+    m_ports.metrics->countStop(answer.status == protocol::batch::CallStatus::Answered);
     if (answer.status == protocol::batch::CallStatus::Answered) {
         m_scheduler.stopAnswered(stop.task, stop.run, now());
         session->wake.cancel();
@@ -529,6 +541,7 @@
     if (m_stopped) {
         co_return;
     }
+    m_ports.metrics->countLook(answer.status == protocol::batch::CallStatus::Answered);
     if (answer.status == protocol::batch::CallStatus::Fenced) {
         m_ports.depose("a worker has seen a higher token");
         co_return;
@@ -560,7 +573,8 @@
                            {{"task", toString(end.task)},
                             {"run", std::to_string(end.run)},
                             {"worker", session.id.value},
-                            {"how", std::to_string(static_cast<int>(end.kind))}});
+                            {"how", endName(end.kind)}});
+            m_ports.metrics->countEnd(end.kind);
         }
     }
     m_scheduler.workerAnswered(session.id, answer.report, now());
--- a/src/heatherquay/state/batch/progress.hpp
+++ b/src/heatherquay/state/batch/progress.hpp
@@ -74,6 +74,7 @@
     JobId job;
     std::string queue;
     JobState state{JobState::Queued};
+    Duration age{}; ///< Since its acceptance when it came into this state; not stored.
 };
 
 } // namespace heatherquay::state::batch
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -489,7 +489,7 @@
     startReserved(decision);
     place(decision, now, wall);
     emitOrders(decision, now);
-    collectRecords(decision);
+    collectRecords(decision, wall);
     return decision;
 }
 
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -203,7 +203,7 @@
     PlacementRequest requestFor(const Job &job, const Occurrence &occurrence, const StepSpec &step,
                                 std::uint32_t tasks) const;
     void emitOrders(Decision &decision, Instant now);
-    void collectRecords(Decision &decision);
+    void collectRecords(Decision &decision, Instant wall);
 
     SchedulerSettings m_settings;
     std::map<std::string, QueuePolicy> m_queues;
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -234,7 +234,7 @@
     return true;
 }
 
-void Scheduler::collectRecords(Decision &decision)
+void Scheduler::collectRecords(Decision &decision, Instant wall)
 {
     for (auto position = m_jobs.begin(); position != m_jobs.end();) {
         Job &job = position->second;
@@ -267,7 +267,7 @@
         }
         if (job.statusChanged) {
             job.statusChanged = false;
-            decision.statuses.push_back({job.spec.id, job.spec.queue, job.state});
+            decision.statuses.push_back({job.spec.id, job.spec.queue, job.state, wall - job.spec.acceptedAt});
         }
         ++position;
     }
--- a/src/heatherquay/transport/log.cpp
+++ b/src/heatherquay/transport/log.cpp
@@ -1,7 +1,9 @@
 #include "heatherquay/transport/log.hpp"
 
 #include "heatherquay/error.hpp"
+#include "heatherquay/transport/log_budget.hpp"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -12,6 +14,15 @@
 namespace detail
 {
 
+constexpr std::uint32_t linesPerSecondAndEvent = 500; // Ten times the busiest event of a day of 50 workers.
+constexpr int queuedLinesMax = 2'000; // About half a megabyte while nobody reads the output.
+
+LogBudget &budget()
+{
+    static LogBudget instance(linesPerSecondAndEvent);
+    return instance;
+}
+
 const log4cxx::LoggerPtr &logger()
 {
     static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("heatherquay");
@@ -68,7 +79,13 @@
                     "use debug, info, warn or error");
     }
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-ddTHH:mm:ss.SSS} %p %m%n");
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    // A thread of its own writes, so that output that nobody reads holds up no decision; lines beyond the queue are
+    // counted and told once there is room again.
+    const auto appender = std::make_shared<log4cxx::AsyncAppender>();
+    appender->setBufferSize(detail::queuedLinesMax);
+    appender->setBlocking(false);
+    appender->addAppender(console);
     detail::logger()->removeAllAppenders();
     detail::logger()->setAdditivity(false);
     detail::logger()->addAppender(appender);
@@ -82,6 +99,10 @@
     if (!target->isEnabledFor(mapped)) {
         return;
     }
+    const auto leftOut = detail::budget().admit(event);
+    if (!leftOut) {
+        return;
+    }
     std::string line(event);
     for (const LogField &field : fields) {
         line += ' ';
@@ -89,6 +110,9 @@
         line += '=';
         detail::appendQuoted(line, field.value);
     }
+    if (*leftOut > 0) {
+        line += " left_out=" + std::to_string(*leftOut);
+    }
     target->forcedLog(mapped, line, LOG4CXX_LOCATION);
 }
 
--- a/src/heatherquay/transport/log.hpp
+++ b/src/heatherquay/transport/log.hpp
@@ -22,11 +22,12 @@
     std::string value;
 };
 
-/// Sets up the log on standard error. @param level "debug", "info", "warn" or "error"
+/// Sets up the log on standard output, written by a thread of its own. @param level "debug", "info", "warn" or "error"
 /// @throws Error(BadInput) for another level
 void configureLog(std::string_view level);
 
-/// Writes one line: time, level, event name, fields. @param event lower case with hyphens, such as "member-removed"
+/// Writes one line: time, level, event name, fields. Never blocks: lines beyond a rate for each event and beyond a
+/// bounded queue are left out and counted. @param event lower case with hyphens, such as "member-removed"
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
 } // namespace heatherquay::transport
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -70,6 +70,7 @@
         };
         ports.workersTable = "workers";
         ports.board = &board;
+        ports.metrics = &metrics;
         DeciderTimes times;
         times.lease = 300ms;
         times.authority = 200ms;
@@ -102,6 +103,8 @@
     }
 
     test::MemoryStore &store;
+    transport::MetricsRegistry registry;
+    DeciderMetrics metrics{registry};
     JobBoard board;
     TableMirror<test::MemoryStore> mirror;
     std::shared_ptr<TestDecider> decider;
