--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -1,6 +1,6 @@
-#include "batch/fake_worker.hpp"
-#include "batch/memory_store.hpp"
 #include "batch/pool_simulation.hpp"
+#include "emulator/fake_worker.hpp"
+#include "emulator/memory_store.hpp"
 #include "heatherquay/coordination/batch/acceptance.hpp"
 #include "heatherquay/coordination/batch/decider.hpp"
 #include "heatherquay/coordination/batch/term.hpp"
--- a/tests/batch/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -1,4 +1,4 @@
-#include "batch/fake_worker.hpp"
+#include "emulator/fake_worker.hpp"
 
 #include <algorithm>
 
--- a/tests/batch/memory_store.cpp
+++ b/tests/emulator/memory_store.cpp
@@ -1,4 +1,4 @@
-#include "batch/memory_store.hpp"
+#include "emulator/memory_store.hpp"
 
 namespace heatherquay::test
 {
--- a/tests/system/entry_process.cpp
+++ b/tests/system/entry_process.cpp
@@ -14,7 +14,8 @@
 namespace heatherquay::system_test
 {
 
-EntryProcess::EntryProcess(std::string name, const std::string &settings, std::filesystem::path directory)
+EntryProcess::EntryProcess(std::string name, const std::string &settings, std::filesystem::path directory,
+                           const char *nodeFileVariable)
 {
     const std::string file = directory / (name + ".toml");
     const std::string log = directory / (name + ".log");
@@ -28,6 +29,10 @@
         const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
+        if (nodeFileVariable != nullptr) {
+            ::setenv(nodeFileVariable, file.c_str(), 1);
+            ::execl(binary, binary, "serve", nullptr);
+        }
         ::execl(binary, binary, "serve", "--config", file.c_str(), nullptr);
         ::_exit(127);
     }
--- a/tests/system/entry_process.hpp
+++ b/tests/system/entry_process.hpp
@@ -17,7 +17,9 @@
 {
 public:
     /// @param settings the text of its settings file
-    EntryProcess(std::string name, const std::string &settings, std::filesystem::path directory);
+    /// @param nodeFileVariable when given, the settings are handed over in the file that this variable names
+    EntryProcess(std::string name, const std::string &settings, std::filesystem::path directory,
+                 const char *nodeFileVariable = nullptr);
     ~EntryProcess();
     EntryProcess(const EntryProcess &) = delete;
     EntryProcess &operator=(const EntryProcess &) = delete;
