Keep room in the table's budget for control, and the budget over any second

Cause: scripts/demo failed with 402 writes in a second against 400, or with a confirmation that found no room: callers' writes could take the whole budget of an entry, and a bucket of a tenth of a second let a burst pass on top of its rate. Ruled out: lease renewals, which are few and charged. Change: callers' writes use at most 0.6 of the budget; burst and a second of refill stay within one second's rate.

--- a/src/heatherquay/app/entry_process.cpp
+++ b/src/heatherquay/app/entry_process.cpp
@@ -198,7 +198,8 @@
                                                                                               entry);
                                                                  }))))
     , idempotency(std::make_shared<Idempotency>(
-          io.get_executor(), std::make_shared<protocol::TableClient>(table), std::make_shared<AnswerStore>(objects),
+          io.get_executor(), std::make_shared<protocol::TableClient>(table.forCallers()),
+          std::make_shared<AnswerStore>(objects),
           coordination::IdempotencyOptions{.self = settings->id, .retention = settings->idempotencyRetention},
           [this](const state::EntryId &entry, std::uint64_t) {
               return detail::isListed(*membership.members(), entry);
--- a/src/heatherquay/protocol/table_client.cpp
+++ b/src/heatherquay/protocol/table_client.cpp
@@ -29,6 +29,7 @@
 /// The bound stays below the member lease, so that one try fits into the rest of a lease after an outage.
 constexpr std::chrono::milliseconds tableBackoffFirst{50};
 constexpr std::chrono::milliseconds tableBackoffMost{1'000};
+constexpr double callersShare = 0.6; // Of the writes; the rest covers plans, records and leases of a busy entry.
 
 std::string describe(const ExchangeResult &result)
 {
@@ -53,6 +54,7 @@
         , writesPerSecond(settings.writesPerSecond)
         , readsPerSecond(settings.readsPerSecond)
         , writes(settings.writesPerSecond)
+        , callerWrites(settings.writesPerSecond * detail::callersShare)
         , reads(settings.readsPerSecond)
         , backoff(detail::tableBackoffFirst, detail::tableBackoffMost, std::random_device{}())
     {
@@ -73,6 +75,7 @@
     std::uint32_t readsPerSecond;
     std::uint32_t members{1};
     TokenBucket writes;
+    TokenBucket callerWrites;
     TokenBucket reads;
     Backoff backoff;
     Clock::time_point notBefore{};
@@ -81,7 +84,9 @@
 
 void TableClient::Shared::applyRates()
 {
-    writes.setRate(static_cast<double>(writesPerSecond) / members);
+    const double rate = static_cast<double>(writesPerSecond) / members;
+    writes.setRate(rate);
+    callerWrites.setRate(rate * detail::callersShare);
     reads.setRate(static_cast<double>(readsPerSecond) / members);
 }
 
@@ -157,15 +162,20 @@
 {
 }
 
-TableClient::TableClient(std::shared_ptr<Shared> shared, bool urgent)
+TableClient::TableClient(std::shared_ptr<Shared> shared, Precedence precedence)
     : m_shared(std::move(shared))
-    , m_urgent(urgent)
+    , m_precedence(precedence)
 {
 }
 
 TableClient TableClient::urgent() const
 {
-    return {m_shared, true};
+    return {m_shared, Precedence::Urgent};
+}
+
+TableClient TableClient::forCallers() const
+{
+    return {m_shared, Precedence::Callers};
 }
 
 asio::awaitable<CommitResult> TableClient::transact(Transaction transaction)
@@ -180,7 +190,11 @@
         }
     }
     const double cost = static_cast<double>(transaction.puts.size() + transaction.deletes.size());
-    if (!co_await shared->admit(shared->writes, cost, m_urgent, deadline)) {
+    bool admitted = true;
+    if (m_precedence == Precedence::Callers) {
+        admitted = co_await shared->admit(shared->callerWrites, cost, false, deadline);
+    }
+    if (!admitted || !co_await shared->admit(shared->writes, cost, m_precedence == Precedence::Urgent, deadline)) {
         result.failure = "no write within the budget or backoff before the deadline";
         co_return result;
     }
@@ -218,7 +232,7 @@
     const auto deadline = Clock::now() + shared->timeout;
     ReadResult result;
     const double cost = std::max<double>(1, static_cast<double>(keys.size()));
-    if (!co_await shared->admit(shared->reads, cost, m_urgent, deadline)) {
+    if (!co_await shared->admit(shared->reads, cost, m_precedence == Precedence::Urgent, deadline)) {
         result.failure = "no read within the budget or backoff before the deadline";
         co_return result;
     }
@@ -241,7 +255,7 @@
     const auto shared = m_shared;
     const auto deadline = Clock::now() + shared->timeout;
     ReadResult result;
-    if (!co_await shared->admit(shared->reads, 1, m_urgent, deadline)) {
+    if (!co_await shared->admit(shared->reads, 1, m_precedence == Precedence::Urgent, deadline)) {
         result.failure = "no read within the budget or backoff before the deadline";
         co_return result;
     }
--- a/src/heatherquay/protocol/table_client.hpp
+++ b/src/heatherquay/protocol/table_client.hpp
@@ -32,6 +32,10 @@
     /// which would lapse behind a queue of other writes.
     TableClient urgent() const;
 
+    /// A copy whose writes use only a part of the budget, so that decisions, plans and leases never wait behind a rush
+    /// of callers' requests.
+    TableClient forCallers() const;
+
     /// Sets this entry's part of the budget. @param members number of entries that share it, at least 1
     void setMembers(std::uint32_t members);
     /// Sets the budget of all entries together, in rows a second.
@@ -42,11 +46,17 @@
 
 private:
     struct Shared;
+    enum class Precedence
+    {
+        Urgent, ///< Never waits; charged all the same.
+        Control, ///< May use the whole budget.
+        Callers ///< Leaves a part of the budget to the others.
+    };
 
-    TableClient(std::shared_ptr<Shared> shared, bool urgent);
+    TableClient(std::shared_ptr<Shared> shared, Precedence precedence);
 
     std::shared_ptr<Shared> m_shared;
-    bool m_urgent{};
+    Precedence m_precedence{Precedence::Control};
 };
 
 static_assert(Table<TableClient>);
--- a/src/heatherquay/protocol/token_bucket.cpp
+++ b/src/heatherquay/protocol/token_bucket.cpp
@@ -9,8 +9,9 @@
 {
 
 /// The burst is short, so that all entries together stay near their budget within any second.
-constexpr double burstSeconds = 0.1;
-constexpr double burstMin = 1.0;
+constexpr double burstSeconds = 0.01;
+constexpr double refillShareMin = 0.9; // Of the rate, for rates so low that the smallest burst is a large part.
+constexpr double burstMin = 1.9; // Just below two calls, so that a late taker loses nothing.
 constexpr double rateMin = 0.1;
 
 double burstOf(double perSecond)
@@ -18,6 +19,13 @@
     return std::max(burstMin, perSecond * burstSeconds);
 }
 
+/// The refill at which a whole burst and a second of refill together stay below one call more than the rate.
+double refillOf(double perSecond)
+{
+    constexpr double partOfCall = 0.9;
+    return std::max(perSecond * refillShareMin, perSecond - burstOf(perSecond) + partOfCall);
+}
+
 } // namespace detail
 
 TokenBucket::TokenBucket(double perSecond, Clock::time_point now)
@@ -45,7 +53,7 @@
         m_tokens -= cost;
         return std::chrono::microseconds(0);
     }
-    const std::chrono::duration<double> wait((needed - m_tokens) / m_perSecond);
+    const std::chrono::duration<double> wait((needed - m_tokens) / detail::refillOf(m_perSecond));
     return std::chrono::duration_cast<std::chrono::microseconds>(wait) + std::chrono::microseconds(1);
 }
 
@@ -62,7 +70,7 @@
         return;
     }
     const std::chrono::duration<double> passed = now - m_filledAt;
-    m_tokens = std::min(detail::burstOf(m_perSecond), m_tokens + passed.count() * m_perSecond);
+    m_tokens = std::min(detail::burstOf(m_perSecond), m_tokens + passed.count() * detail::refillOf(m_perSecond));
     m_filledAt = now;
 }
 
--- a/tests/protocol/table_client_test.cpp
+++ b/tests/protocol/table_client_test.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/test/data/monomorphic.hpp>
@@ -202,6 +203,54 @@
     BOOST_TEST((std::chrono::steady_clock::now() - urgentBegin < 400ms));
 }
 
+// Callers' writes used the whole budget, and an operator's confirmation found no room before its deadline.
+BOOST_FIXTURE_TEST_CASE(table_client_keeps_room_for_control_while_callers_rush, ServiceFixture)
+{
+    answerWith(200, R"({"version":7})");
+    TableClient client(io.get_executor(), {.address = address, .timeout = 1s, .writesPerSecond = 40});
+    std::atomic<int> callers{0};
+    const Transaction request{.puts = {{"a", "b"}, {"c", "d"}}};
+    for (int i = 0; i < 200; ++i) {
+        boost::asio::co_spawn(
+            io,
+            [&]() -> boost::asio::awaitable<void> {
+                co_await client.forCallers().transact(request);
+                ++callers;
+            },
+            boost::asio::detached);
+    }
+    for (int i = 0; i < 3; ++i) {
+        const auto begin = std::chrono::steady_clock::now();
+        BOOST_TEST((wait(client.transact({.puts = {{"a", "b"}}})).status == CommitStatus::Committed));
+        BOOST_TEST((std::chrono::steady_clock::now() - begin < 500ms));
+    }
+    while (callers < 200) {
+        std::this_thread::sleep_for(10ms);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_bucket_keeps_its_rate_over_any_second)
+{
+    const auto begin = TokenBucket::Clock::now();
+    TokenBucket bucket(400, begin);
+    std::vector<std::chrono::milliseconds> taken;
+    for (std::chrono::milliseconds at{2'000}; at < 6s; at += 1ms) {
+        while (bucket.take(1, begin + at).count() == 0) {
+            taken.push_back(at);
+        }
+    }
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < taken.size(); ++last) {
+        while (taken[last] - taken[first] >= 1s) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    BOOST_TEST(most <= 400U);
+    BOOST_TEST(most >= 350U);
+}
+
 BOOST_FIXTURE_TEST_CASE(object_store_client_tells_absent_objects_from_failures, ServiceFixture)
 {
     ObjectStoreClient client(io.get_executor(), {.address = address, .timeout = 200ms});
