Ask for placement advice, and keep tasks that fill away from tasks that serve

Change: one call after another to the advice service, thirty workers each, tickets in the start orders, a refused ticket asks again; a filling task is not placed on a worker with serving tasks, nor the other way round. Pacing is not built. Ruled out: none to rule out.

--- a/src/heatherquay/app/log_reader.cpp
+++ b/src/heatherquay/app/log_reader.cpp
@@ -35,7 +35,7 @@
 {
     const std::size_t begin = std::min(rest.find_first_not_of(' '), rest.size());
     const std::size_t end = std::min(rest.find(' ', begin), rest.size());
-    const std::string word(rest.substr(begin, end - begin));
+    std::string word(rest.substr(begin, end - begin));
     rest.remove_prefix(end);
     return word;
 }
--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -8,6 +8,7 @@
 #include "heatherquay/coordination/batch/worker_session.hpp"
 #include "heatherquay/state/batch/scheduler.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -53,6 +54,8 @@
     /// Reads a registration; nothing when the row describes no usable worker.
     std::function<std::optional<state::batch::WorkerSpec>(const protocol::batch::StoredRow &)> readWorker;
     std::string workersTable;
+    /// Asks which workers may run a step; empty when the platform gives no advice.
+    std::function<boost::asio::awaitable<protocol::batch::AdviceAnswer>(state::batch::AdviceOrder)> advise;
     const JobBoard *board{};
     DeciderMetrics *metrics{};
 };
@@ -98,6 +101,7 @@
     boost::asio::awaitable<void> look(Session &session);
     boost::asio::awaitable<void> order(state::batch::StartOrder start);
     boost::asio::awaitable<void> order(state::batch::StopOrder stop);
+    boost::asio::awaitable<void> adviceLoop();
     void takeJob(const protocol::batch::StoredRow &row);
     void takeWorker(const protocol::batch::StoredRow &row);
     void admit(const state::batch::JobSpec &job);
@@ -128,6 +132,8 @@
     std::vector<state::batch::StartOrder> m_heldStarts; ///< Not ordered before their records are stored.
     state::Instant m_tookOverAt;
     state::Instant m_learnedAt; ///< When speeds were last recorded.
+    std::deque<state::batch::AdviceOrder> m_adviceOrders; ///< Asked one after another.
+    bool m_advising{};
     bool m_recovered{};
     bool m_stopped{};
     bool m_awake{};
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -334,6 +334,11 @@
     for (const auto &stop : decision.stops) {
         spawn(order(stop));
     }
+    m_adviceOrders.insert(m_adviceOrders.end(), decision.advice.begin(), decision.advice.end());
+    if (!m_adviceOrders.empty() && !m_advising) {
+        m_advising = true;
+        spawn(adviceLoop());
+    }
     m_heldStarts.insert(m_heldStarts.end(), decision.starts.begin(), decision.starts.end());
     std::map<state::WorkerId, std::pair<state::batch::Incarnation, std::uint64_t>> processed;
     for (const auto &[id, session] : m_sessions) {
@@ -380,6 +385,33 @@
     co_return true;
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::adviceLoop()
+{
+    const auto self = shared_from_this();
+    while (!m_stopped && !m_adviceOrders.empty()) {
+        const state::batch::AdviceOrder order = std::move(m_adviceOrders.front());
+        m_adviceOrders.pop_front();
+        protocol::batch::AdviceAnswer answer;
+        answer.failure = "the platform gives no advice";
+        if (m_ports.advise) {
+            answer = co_await m_ports.advise(order);
+        }
+        if (m_stopped) {
+            co_return;
+        }
+        transport::log(answer.ok ? transport::LogLevel::Info : transport::LogLevel::Warn, "advice-answered",
+                       {{"job", order.step.job.value},
+                        {"step", toString(order.step)},
+                        {"asked", std::to_string(order.workers.size())},
+                        {"good", std::to_string(answer.tickets.size())},
+                        {"error", answer.failure}});
+        m_scheduler.adviceAnswered(order.step, std::move(answer.tickets), answer.validity, now());
+        wake();
+    }
+    m_advising = false;
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 void Decider<Store, Worker>::report(const state::batch::Decision &decision) const
 {
@@ -444,6 +476,8 @@
         outcome = StartOutcome::Unknown;
     } else if (answer.status == CallStatus::NoRoom) {
         outcome = StartOutcome::NoRoom;
+    } else if (answer.status == CallStatus::NoTicket) {
+        outcome = StartOutcome::NoTicket;
     }
     const bool started = outcome == StartOutcome::Started;
     transport::log(started ? transport::LogLevel::Info : transport::LogLevel::Warn, "run-ordered",
--- a/src/heatherquay/coordination/batch/decider_metrics.cpp
+++ b/src/heatherquay/coordination/batch/decider_metrics.cpp
@@ -10,7 +10,7 @@
 
 std::string outcomeName(state::batch::StartOutcome outcome)
 {
-    constexpr std::array<const char *, 4> names{"started", "refused", "no-room", "unknown"};
+    constexpr std::array<const char *, 5> names{"started", "refused", "no-room", "no-ticket", "unknown"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
--- a/src/heatherquay/protocol/batch/record_codec.cpp
+++ b/src/heatherquay/protocol/batch/record_codec.cpp
@@ -52,6 +52,14 @@
     archive.optional("fills", value.fills);
 }
 
+template<typename Archive>
+void fields(Archive &archive, typename Archive::template Ref<AdviceTerms> value)
+{
+    archive("decision", value.decision);
+    archive("perWorker", value.perWorker);
+    archive("validity", value.validity);
+}
+
 template<typename Archive>
 void fields(Archive &archive, typename Archive::template Ref<QueuePolicy> value)
 {
@@ -60,6 +68,7 @@
     archive("attemptsMax", value.attemptsMax);
     archive("stretch", value.stretch);
     archive("latencyTarget", value.latencyTarget);
+    archive.optional("advice", value.advice);
 }
 
 template<typename Archive>
--- a/src/heatherquay/protocol/batch/worker_calls.hpp
+++ b/src/heatherquay/protocol/batch/worker_calls.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -26,6 +27,7 @@
     OtherIncarnation, ///< The worker has restarted; nothing was done.
     Refused, ///< Nothing was done.
     NoRoom, ///< Nothing was done for want of room.
+    NoTicket, ///< Nothing was done for want of a valid ticket.
     NotSent, ///< Nothing was done: no byte left this VM.
     Unknown ///< The order may be carried out, also later.
 };
@@ -53,6 +55,14 @@
     std::string failure;
 };
 
+struct AdviceAnswer
+{
+    bool ok{};
+    std::map<state::WorkerId, std::string> tickets; ///< By worker that may run the step.
+    std::chrono::milliseconds validity{};
+    std::string failure;
+};
+
 /// What the coordination layer needs of a worker. No operation throws for an outage.
 template<typename W>
 concept WorkerCalls = requires(W worker, const LookRequest &look, const state::batch::StartOrder &start,
--- a/src/heatherquay/state/batch/job.cpp
+++ b/src/heatherquay/state/batch/job.cpp
@@ -7,6 +7,11 @@
 namespace heatherquay::state::batch
 {
 
+std::string toString(const StepId &step)
+{
+    return step.job.value + "." + std::to_string(step.occurrence) + "." + std::to_string(step.step);
+}
+
 std::string toString(const TaskId &task)
 {
     return task.job.value + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
--- a/src/heatherquay/state/batch/job.hpp
+++ b/src/heatherquay/state/batch/job.hpp
@@ -61,6 +61,14 @@
     bool fills{}; ///< Processor need does not count; the task takes what the others leave.
 };
 
+/// What a queue's placement advice costs; only advised workers may run the queue's steps.
+struct AdviceTerms
+{
+    Duration decision{}; ///< Of one call.
+    Duration perWorker{}; ///< Added for each worker that is asked about.
+    Duration validity{}; ///< Of the tickets given.
+};
+
 /// How the jobs of a queue are treated.
 struct QueuePolicy
 {
@@ -69,6 +77,7 @@
     std::uint32_t attemptsMax{1};
     double stretch{1}; ///< The objective is this many times the longest chain of work, plus latencyTarget.
     Duration latencyTarget{};
+    std::optional<AdviceTerms> advice; ///< None when any worker may be used.
 };
 
 /// A job as accepted. Never changes.
@@ -104,6 +113,18 @@
     friend auto operator<=>(const TaskId &, const TaskId &) = default; // NOLINT(modernize-use-nullptr)
 };
 
+/// Names one step of an occurrence.
+struct StepId
+{
+    JobId job;
+    std::uint32_t occurrence{};
+    std::uint32_t step{};
+
+    friend auto operator<=>(const StepId &, const StepId &) = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// @return for example "5c0e7a21d94b36f8.0.1"
+std::string toString(const StepId &step);
 /// @return for example "5c0e7a21d94b36f8.0.1.17"
 std::string toString(const TaskId &task);
 /// @return nothing when @p text does not name a task
--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -31,6 +31,12 @@
     return static_cast<std::uint32_t>(copies);
 }
 
+/// Tasks that fill are kept away from tasks that serve, whose response times they would spoil.
+bool disturbs(const StepSpec &step, const Worker &worker)
+{
+    return (step.fills && worker.servingRuns > 0) || (step.tailTarget.count() > 0 && worker.fillingRuns > 0);
+}
+
 bool slowsOverRacks(const StepSpec &step)
 {
     return step.gang && step.sameRack;
@@ -62,7 +68,8 @@
     for (const auto &[id, worker] : m_pool.all()) {
         if (worker.spec.service != request.service || !m_pool.accepts(worker, m_now)
             || (!step.requiredLabel.empty() && !worker.hasLabel(step.requiredLabel))
-            || worker.slowness > request.slownessMax
+            || worker.slowness > request.slownessMax || detail::disturbs(step, worker)
+            || (request.tickets != nullptr && !request.tickets->contains(id))
             || (request.closedRacks != nullptr && request.closedRacks->contains(worker.spec.rack))) {
             continue;
         }
--- a/src/heatherquay/state/batch/placement.hpp
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -24,6 +24,7 @@
     double slownessWeight{}; ///< Score for twice the usual run time; negative to leave fast workers to others.
     bool urgent{};
     double slownessMax{std::numeric_limits<double>::max()}; ///< Slower workers are left out.
+    const std::map<WorkerId, std::string> *tickets{}; ///< Only these workers may be used; null for any.
     const std::set<std::string> *closedRacks{}; ///< Kept free for others; null for none.
 };
 
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -128,8 +128,7 @@
             member.startedAt = now;
             Worker &worker = m_pool.require(id, leaseUntil);
             worker.used += claimOf(job, unit);
-            ++worker.runs;
-            worker.firmRuns += isFirm(job, unit) ? 1 : 0;
+            countRun(worker, job, unit, 1);
             if (job.policy.priority == 0) {
                 m_urgentAccelerators[job.spec.team] += claimOf(job, unit).accelerators;
             }
@@ -409,8 +408,7 @@
     m_runsOn[member.worker].erase({job.spec.id, occurrence.number, unitPosition, static_cast<std::uint32_t>(position)});
     if (Worker *worker = m_pool.find(member.worker)) {
         worker->used -= claimOf(job, unit);
-        --worker->runs;
-        worker->firmRuns -= isFirm(job, unit) ? 1 : 0;
+        countRun(*worker, job, unit, -1);
         m_pool.forget(member.worker);
     }
 }
@@ -456,6 +454,9 @@
             m_pool.pause(*worker, now, m_settings.workers.roomRefusalPause);
         }
         break;
+    case StartOutcome::NoTicket:
+        m_advice.erase({task.job, task.occurrence, task.step});
+        break;
     case StartOutcome::Refused:
         located.unit->avoided = member.worker;
         if (Worker *worker = m_pool.find(member.worker)) {
@@ -469,6 +470,19 @@
     abandon(*located.unit);
 }
 
+void Scheduler::adviceAnswered(const StepId &step, std::map<WorkerId, std::string> tickets, Duration validity,
+                               Instant now)
+{
+    Advice &advice = m_advice[step];
+    advice.asked = false;
+    advice.askAgainAt = now + m_settings.adviceRetry;
+    if (now >= advice.validUntil) {
+        advice.tickets.clear();
+    }
+    advice.validUntil = now + validity;
+    advice.tickets.merge(tickets);
+}
+
 void Scheduler::stopAnswered(const TaskId &task, std::uint32_t run, Instant now)
 {
     const Located located = locate(task, run);
@@ -555,6 +569,18 @@
     return job.spec.steps[unit.step];
 }
 
+void Scheduler::countRun(Worker &worker, const Job &job, const Unit &unit, int change) const
+{
+    const StepSpec &step = stepOf(job, unit);
+    const auto count = [change](std::uint32_t &number, bool counts) {
+        number = counts ? number + static_cast<std::uint32_t>(change) : number;
+    };
+    count(worker.runs, true);
+    count(worker.firmRuns, isFirm(job, unit));
+    count(worker.servingRuns, step.tailTarget.count() > 0);
+    count(worker.fillingRuns, step.fills);
+}
+
 bool Scheduler::isFirm(const Job &job, const Unit &unit) const
 {
     return job.spec.policy.priority != 0 && !stepOf(job, unit).savesProgress;
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -20,6 +20,8 @@
 {
     WorkerPoolSettings workers;
     Duration stopRetry{350}; ///< Until an unanswered stop is sent again; just above the time that a call is given.
+    std::size_t workersAdvised{30}; ///< Asked about in one call; the objective of a step allows for as many.
+    Duration adviceRetry{300}; ///< After an answer without enough workers.
     Duration startRetry{30}; ///< After a start without an answer; its gang waits.
     Duration stillMax{5'000}; ///< A run without any progress for this long is taken for hung; slow runs move by then.
     std::uint32_t racksClaimedMax{2}; ///< Racks kept free for gangs at once; a third of a small pool.
@@ -36,6 +38,7 @@
     Incarnation incarnation;
     std::string payload;
     std::string checkpoint;
+    std::string ticket; ///< Of the placement advice; empty when the queue needs none.
 };
 
 struct StopOrder
@@ -50,6 +53,8 @@
     Started,
     Refused, ///< Certainly not started.
     NoRoom, ///< Certainly not started; the worker holds more than the books say.
+    NoTicket, ///< Certainly not started; the advice is no longer valid.
+
     Unknown ///< The order may be carried out, also later.
 };
 
@@ -61,6 +66,13 @@
     double lostCoreSeconds{};
 };
 
+/// Ask which workers may run a step.
+struct AdviceOrder
+{
+    StepId step;
+    std::vector<WorkerId> workers;
+};
+
 /// What one pass decided.
 struct Decision
 {
@@ -68,6 +80,7 @@
     std::vector<JobStatus> statuses; ///< To be stored with the records.
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops; ///< Need no record.
+    std::vector<AdviceOrder> advice; ///< Most urgent first.
     std::vector<Eviction> evictions; ///< For the log.
     std::vector<TaskId> hung; ///< Runs given up for want of progress, for the log.
 };
@@ -112,6 +125,9 @@
     void startAnswered(const TaskId &task, std::uint32_t run, StartOutcome outcome, Instant now);
     void stopAnswered(const TaskId &task, std::uint32_t run, Instant now);
 
+    /// Takes in the answer to an AdviceOrder. @param tickets by worker that may run the step; empty after a failure
+    void adviceAnswered(const StepId &step, std::map<WorkerId, std::string> tickets, Duration validity, Instant now);
+
     /// One pass over all that changed. @param now steady @param wall time of day, for due times
     Decision decide(Instant now, Instant wall);
     /// Marks records for storing again after a store failure, so that the next decision holds them.
@@ -148,6 +164,14 @@
         Unit *unit{};
         Member *member{};
     };
+    /// What is known of the workers that may run a step.
+    struct Advice
+    {
+        std::map<WorkerId, std::string> tickets;
+        Instant validUntil;
+        bool asked{}; ///< An answer is due.
+        Instant askAgainAt;
+    };
     struct ReadyStep
     {
         Job *job{};
@@ -197,6 +221,10 @@
     bool withinGuarantee(const Job &job, const StepSpec &step, std::size_t tasks) const;
     bool endsSoon(const Located &run, Instant now) const;
     double lossOf(const Job &job, const Unit &unit, Instant now) const;
+    std::string ticketFor(const Job &job, const Occurrence &occurrence, const Unit &unit, const Member &member) const;
+    const Advice *adviceFor(const ReadyStep &ready, Decision &decision, Instant now);
+    std::vector<WorkerId> workersToAskAbout(const ReadyStep &ready) const;
+    void countRun(Worker &worker, const Job &job, const Unit &unit, int change) const;
     void assign(Job &job, Occurrence &occurrence, Unit &unit, const std::vector<WorkerId> &chosen, RunPhase phase,
                 Instant now);
     void plan(Job &job, Occurrence &occurrence, Unit &unit, Decision &decision);
@@ -212,6 +240,7 @@
     WorkerPool m_pool;
     RunEstimates m_estimates;
     std::map<JobId, Job> m_jobs;
+    std::map<StepId, Advice> m_advice;
     std::map<WorkerId, std::set<RunRef>> m_runsOn;
     std::map<std::pair<TaskId, std::uint32_t>, std::pair<WorkerId, Instant>> m_orphans; ///< Runs without a record.
     std::vector<StopOrder> m_orphanStops;
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr double objectivesUntilWorthless = 3; // A job that is later than this earns its callers nothing more.
+constexpr Duration ticketReserve{200}; // A ticket has to be valid when the order arrives, after its record is stored.
 constexpr double acceleratorCores = 8; // What an accelerator-second counts in core-seconds.
 constexpr Duration checkpointLoss{1'000}; // Work since the last checkpoint, when progress is saved.
 // Beyond a guarantee, most work lost for each core-second that the beneficiary needs. An urgent job that starts late
@@ -148,6 +149,13 @@
 {
     const StepSpec &step = ready.job->spec.steps[ready.step];
     PlacementRequest base = requestFor(*ready.job, *ready.occurrence, step, 1);
+    if (ready.job->policy.advice) {
+        const Advice *advice = adviceFor(ready, decision, now);
+        if (advice == nullptr) {
+            return false;
+        }
+        base.tickets = &advice->tickets;
+    }
     if (ready.priority != 0) {
         base.closedRacks = &closedRacks;
         const Duration slack = ready.latestStart - wall;
@@ -179,6 +187,46 @@
     return placeStep(ready, decision, now, base) || reclaim(ready, decision, now, base);
 }
 
+const Scheduler::Advice *Scheduler::adviceFor(const ReadyStep &ready, Decision &decision, Instant now)
+{
+    const StepId id{ready.job->spec.id, ready.occurrence->number, ready.step};
+    Advice &advice = m_advice[id];
+    const bool valid = !advice.tickets.empty() && now + detail::ticketReserve < advice.validUntil;
+    // Also with valid tickets: the step still waits, so the advised workers may not do.
+    if (!advice.asked && now >= advice.askAgainAt) {
+        advice.asked = true;
+        decision.advice.push_back({id, workersToAskAbout(ready)});
+    }
+    return valid ? &advice : nullptr;
+}
+
+std::vector<WorkerId> Scheduler::workersToAskAbout(const ReadyStep &ready) const
+{
+    const StepSpec &step = ready.job->spec.steps[ready.step];
+    std::vector<const Worker *> suitable;
+    for (const auto &[id, worker] : m_pool.all()) {
+        const bool fits = worker.spec.service == ready.job->policy.service && worker.registered && !worker.spec.draining
+            && batch::claimOf(step).fitsIn(worker.spec.capacity)
+            && (step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel));
+        if (fits) {
+            suitable.push_back(&worker);
+        }
+    }
+    // Workers near the data and with room first.
+    const auto rank = [&step](const Worker *worker) {
+        const bool far = !step.dataRack.empty() && worker->spec.rack != step.dataRack;
+        return std::tuple(far, !batch::claimOf(step).fitsIn(worker->free()), worker->spec.rack, worker->spec.id);
+    };
+    std::sort(suitable.begin(), suitable.end(), [&rank](const Worker *left, const Worker *right) {
+        return rank(left) < rank(right);
+    });
+    std::vector<WorkerId> workers;
+    for (std::size_t i = 0; i < suitable.size() && i < m_settings.workersAdvised; ++i) {
+        workers.push_back(suitable[i]->spec.id);
+    }
+    return workers;
+}
+
 std::map<WorkerId, double> Scheduler::workLeft(Instant now)
 {
     std::map<WorkerId, double> left;
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -155,8 +155,7 @@
         member.phase = phase;
         member.progressAt = now;
         worker.used += claimOf(job, unit);
-        ++worker.runs;
-        worker.firmRuns += isFirm(job, unit) ? 1 : 0;
+        countRun(worker, job, unit, 1);
         m_runsOn[chosen[i]].insert({job.spec.id, occurrence.number, position, i});
     }
     if (job.policy.priority == 0) {
@@ -181,10 +180,21 @@
         Member &member = unit.members[i];
         member.phase = RunPhase::Planned;
         decision.starts.push_back({taskOf(job, occurrence, unit, i), unit.run, member.worker, member.incarnation,
-                                   job.spec.payload, unit.checkpoint});
+                                   job.spec.payload, unit.checkpoint, ticketFor(job, occurrence, unit, member)});
     }
 }
 
+std::string Scheduler::ticketFor(const Job &job, const Occurrence &occurrence, const Unit &unit,
+                                 const Member &member) const
+{
+    const auto advice = m_advice.find({job.spec.id, occurrence.number, unit.step});
+    if (advice == m_advice.end()) {
+        return {};
+    }
+    const auto ticket = advice->second.tickets.find(member.worker);
+    return ticket == advice->second.tickets.end() ? std::string() : ticket->second;
+}
+
 void Scheduler::emitOrders(Decision &decision, Instant now)
 {
     decision.stops = std::move(m_orphanStops);
@@ -240,6 +250,7 @@
         Job &job = position->second;
         // Only once the records of earlier passes are stored: a failed store marks them as changed again.
         if (isOver(job)) {
+            m_advice.erase(m_advice.lower_bound({job.spec.id, 0, 0}), m_advice.upper_bound({job.spec.id, ~0U, ~0U}));
             position = m_jobs.erase(position);
             continue;
         }
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -27,6 +27,8 @@
     Resources used; ///< Of all runs that may exist there, and of reservations.
     std::uint32_t runs{}; ///< Runs that may exist there.
     std::uint32_t firmRuns{}; ///< Of these, runs of patient work that would be lost if they were stopped.
+    std::uint32_t servingRuns{}; ///< Of these, runs that serve users of their own within a bound.
+    std::uint32_t fillingRuns{}; ///< Of these, runs that take what others leave, and disturb them.
     Instant heardAt; ///< Last answer.
     bool silent{}; ///< The last call was not answered.
     Instant leaseUntil; ///< When the worker does not answer, all its runs have ended by then.
--- a/tests/batch/pool_simulation.hpp
+++ b/tests/batch/pool_simulation.hpp
@@ -88,6 +88,7 @@
     }
 
     std::function<bool(const state::batch::StartOrder &)> answerLost; ///< Whether a start's answer is lost.
+    std::set<state::WorkerId> advised; ///< Workers that may run steps of queues with advice.
     std::vector<std::string> violations; ///< Broken rules, as seen from the workers.
 
 private:
@@ -117,6 +118,7 @@
     std::map<TaskId, std::uint32_t> m_starts;
     std::set<TaskId> m_done;
     std::set<state::JobId> m_cancelled;
+    std::map<std::string, state::Instant> m_tickets; ///< With the end of their validity.
     double m_wasted{};
 };
 
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -187,6 +187,59 @@
     checkRules(pool);
 }
 
+BOOST_AUTO_TEST_CASE(steps_of_a_queue_with_advice_start_with_valid_tickets_on_advised_workers)
+{
+    PoolSimulation pool;
+    QueuePolicy policy{"service", 1, 3, 3.0, state::Duration(1'000)};
+    policy.advice = AdviceTerms{10ms, 1ms, 1s};
+    pool.setQueue("advised", policy);
+    const auto workers = pool.addWorkers(6, 8, wholeWorker);
+    pool.advised = {workers[1], workers[4]};
+    JobSpec job = makeJob("a", 40, smallTask, 1s);
+    job.queue = "advised";
+    pool.submit(job);
+    JobSpec gang = makeJob("gang", 2, largeTask, 1s);
+    gang.queue = "advised";
+    gang.steps.front().gang = true;
+    pool.submit(gang);
+    pool.advance(15s);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Completed));
+    BOOST_TEST((pool.stateOf(idOf("gang")) == JobState::Completed));
+    checkRules(pool);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_starts_without_advice_where_it_is_needed)
+{
+    PoolSimulation pool;
+    QueuePolicy policy{"service", 1, 3, 3.0, state::Duration(1'000)};
+    policy.advice = AdviceTerms{10ms, 1ms, 1s};
+    pool.setQueue("advised", policy);
+    pool.addWorkers(2, 8, wholeWorker);
+    JobSpec job = makeJob("a", 2, smallTask, 1s);
+    job.queue = "advised";
+    pool.submit(job);
+    pool.advance(3s);
+    BOOST_TEST(pool.running() == 0U);
+    BOOST_TEST((pool.stateOf(idOf("a")) == JobState::Queued));
+}
+
+BOOST_AUTO_TEST_CASE(tasks_that_fill_keep_away_from_tasks_that_serve)
+{
+    PoolSimulation pool;
+    pool.addWorkers(3, 8, wholeWorker);
+    JobSpec serving = makeJob("serving", 2, smallTask, 1s);
+    serving.steps.front().perpetual = true;
+    serving.steps.front().tailTarget = 50ms;
+    JobSpec filling = makeJob("filling", 12, smallTask, 1s);
+    filling.steps.front().fills = true;
+    pool.submit(serving);
+    pool.submit(filling);
+    pool.advance(10s);
+    BOOST_TEST((pool.stateOf(idOf("filling")) == JobState::Completed));
+    BOOST_TEST((pool.stateOf(idOf("serving")) == JobState::Running));
+    checkRules(pool);
+}
+
 BOOST_AUTO_TEST_CASE(a_run_that_stands_still_moves_to_another_worker)
 {
     PoolSimulation pool;
--- a/tests/platform/wire_records_test.cpp
+++ b/tests/platform/wire_records_test.cpp
@@ -1,4 +1,5 @@
 #include "heatherquay/error.hpp"
+#include "platform/advice_client.hpp"
 #include "platform/wire_json.hpp"
 #include "platform/wire_records.hpp"
 
@@ -98,6 +99,20 @@
     BOOST_TEST(decodeBase64(encodeBase64(bytes)).value() == bytes);
 }
 
+BOOST_AUTO_TEST_CASE(advice_is_read)
+{
+    const auto answer = parseAdvice(R"({"good":[["i-1","c81e"],["i-2"],17,["i-3","77"]],"validityMs":3000})");
+    BOOST_TEST(answer.ok);
+    BOOST_TEST(answer.tickets.size() == 2U);
+    BOOST_TEST(answer.tickets.at({"i-1"}) == "c81e");
+    BOOST_TEST(answer.validity.count() == 3'000);
+    BOOST_TEST(!parseAdvice("").ok);
+    const auto table = parseQueueTable(R"({"version":1,"routes":[{"name":"n","host":"h","prefix":"/a/",
+        "advice":{"decisionMs":20,"perWorkerMs":2,"validityMs":3000}}]})");
+    BOOST_REQUIRE(table.queues.front().policy.advice.has_value());
+    BOOST_TEST(table.queues.front().policy.advice->validity.count() == 3'000);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_base64_is_told)
 {
     BOOST_TEST(!decodeBase64("abc").has_value());
