--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -611,6 +611,9 @@
             m_ports.metrics->countEnd(end.kind);
         }
     }
+    if (worker != nullptr && !worker->fenced) {
+        m_scheduler.earlierLeasesEnd(session.id, lapseOf(m_times.lease));
+    }
     m_scheduler.workerAnswered(session.id, answer.report, now());
     wake();
 }
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -186,6 +186,13 @@
     }
 }
 
+void Scheduler::earlierLeasesEnd(const WorkerId &id, Instant until)
+{
+    if (Worker *worker = m_pool.find(id)) {
+        worker->leaseUntil = std::min(worker->leaseUntil, until);
+    }
+}
+
 bool Scheduler::needsLook(const WorkerId &id) const
 {
     const Worker *worker = m_pool.find(id);
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -117,6 +117,8 @@
     void workerSilent(const WorkerId &id);
     /// Called before a call that may extend the worker's lease. @param until the latest time at which the lease ends
     void leaseExtended(const WorkerId &id, Instant until);
+    /// The worker has refused all earlier deciders from now on. @param until when the leases that they gave have ended
+    void earlierLeasesEnd(const WorkerId &id, Instant until);
     /// @return whether a call to the worker is due: runs may exist there, or it has not answered this decider
     bool needsLook(const WorkerId &id) const;
 
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -151,13 +151,20 @@
     bool historyShows(const std::string &id, const std::vector<std::pair<std::string, std::string>> &events) const
     {
         std::size_t next = 0;
-        for (const app::LogLine &line : app::historyOf(id, logs())) {
+        const auto history = app::historyOf(id, logs());
+        for (const app::LogLine &line : history) {
             if (next < events.size() && line.event == events[next].first
                 && app::toText(line).find(events[next].second) != std::string::npos) {
                 ++next;
             }
         }
-        return next == events.size();
+        if (next < events.size()) {
+            return false;
+        }
+        for (const app::LogLine &line : history) {
+            BOOST_TEST_MESSAGE(app::toText(line));
+        }
+        return true;
     }
 
     test::PlatformEmulator platform;
