Record wide jobs in pieces, and learned speeds within one row

Ruled out: processor time of the decider (0.6 of a core at most) and the store's rates. The store in memory refuses long values as the real one does.

--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -346,7 +346,11 @@
     }
     std::vector<protocol::batch::RowPut> rows;
     for (const auto &record : decision.records) {
-        rows.push_back({progressRow(record.job, record.occurrence), protocol::batch::encodeOccurrence(record)});
+        std::size_t piece = 0;
+        for (const auto &part : protocol::batch::splitOccurrence(record, unitsPerRow)) {
+            rows.push_back(
+                {progressRow(record.job, record.occurrence, piece++), protocol::batch::encodeOccurrence(part)});
+        }
     }
     for (const auto &status : decision.statuses) {
         rows.push_back({statusRow(status.job), protocol::batch::encodeStatus(status)});
@@ -640,11 +644,17 @@
                 rows.push_back(row.key);
             }
         }
-        rows.push_back(statusRow(job));
+        const bool last = rows.size() < RecordWriter<Store>::rowsPerCall && !page.more;
+        if (last) {
+            rows.push_back(statusRow(job));
+        }
         const bool recordsGone = co_await m_writer.remove(rows, true);
         if (!recordsGone || m_stopped) {
             co_return;
         }
+        if (!last) {
+            continue; // The next pass removes the rest.
+        }
         const std::vector<protocol::batch::RowKey> intake{jobRow(job), intakeRow(job)};
         const bool intakeGone = co_await m_writer.remove(intake, false);
         if (!intakeGone || m_stopped) {
--- a/src/heatherquay/coordination/batch/layout.hpp
+++ b/src/heatherquay/coordination/batch/layout.hpp
@@ -18,6 +18,9 @@
 constexpr const char *deciderPart = "decider";
 constexpr const char *membersPart = "members";
 
+// Units recorded in one row: at most 110 bytes each, within the store's 64 KB a row.
+constexpr std::size_t unitsPerRow = 500;
+
 // Keys of the board that are no job ids; those are hexadecimal.
 constexpr const char *termKey = "!term";
 constexpr const char *pulseKey = "!pulse";
@@ -40,9 +43,10 @@
 {
     return {progressTable, deciderPart, learnedKey};
 }
-inline protocol::batch::RowKey progressRow(const state::JobId &job, std::uint32_t occurrence)
+/// @param piece a wide occurrence is recorded in several rows
+inline protocol::batch::RowKey progressRow(const state::JobId &job, std::uint32_t occurrence, std::size_t piece)
 {
-    return {progressTable, deciderPart, job.value + "." + std::to_string(occurrence)};
+    return {progressTable, deciderPart, job.value + "." + std::to_string(occurrence) + "." + std::to_string(piece)};
 }
 
 } // namespace heatherquay::coordination::batch
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "heatherquay/state/batch/scheduler.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace heatherquay::state::batch
 {
@@ -10,6 +11,8 @@
 
 constexpr Duration stopVisibleMax{2'000}; // A stop that was answered but has no effect by then is sent again.
 
+constexpr double slownessWorthRecording = 0.2; // Smaller differences change no placement.
+constexpr std::size_t recordedWorkersMax = 500; // About 45 KB, within the store's 64 KB a row.
 constexpr Duration paceTimeLeast{300}; // Shorter spans are dominated by the rounding of percent.
 constexpr std::size_t pacesForMedian = 3;
 constexpr double matesWeight = 0.4; // Of a pace compared with tasks of the same step; three settle a worker's speed.
@@ -535,8 +538,15 @@
 {
     LearnedRecord record;
     for (const auto &[id, worker] : m_pool.all()) {
-        record.workers.push_back({id, worker.spec.incarnation.value, worker.slowness});
+        if (std::abs(worker.slowness - 1) >= detail::slownessWorthRecording) {
+            record.workers.push_back({id, worker.spec.incarnation.value, worker.slowness});
+        }
     }
+    // The most unusual ones first, because the record is bounded.
+    std::sort(record.workers.begin(), record.workers.end(), [](const WorkerSpeed &left, const WorkerSpeed &right) {
+        return std::abs(left.slowness - 1) > std::abs(right.slowness - 1);
+    });
+    record.workers.resize(std::min(record.workers.size(), detail::recordedWorkersMax));
     record.queues = m_estimates.estimates();
     return record;
 }
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -231,6 +231,27 @@
     BOOST_TEST(completed("a"));
 }
 
+// The store refuses rows beyond 64 KB, and with them all other records of the pass: one wide job stopped everything.
+BOOST_AUTO_TEST_CASE(a_job_too_wide_for_one_row_runs_and_is_taken_over)
+{
+    for (auto &[id, worker] : workers) {
+        worker->work = 20ms;
+        worker->spec.capacity = {2'000'000, 2'000'000, 2'000};
+    }
+    start();
+    submit("00000000000000aa", 1'500);
+    runFor(150ms);
+    process->kill();
+    successor = std::make_unique<DecidingProcess>(context, store, workers, 2);
+    for (int i = 0; i < 100 && !completed("00000000000000aa"); ++i) {
+        runFor(100ms);
+    }
+    BOOST_TEST(completed("00000000000000aa"));
+    for (const auto &[task, count] : starts()) {
+        BOOST_TEST(count == 1, task);
+    }
+}
+
 // A worker leaves with a run on it. While looks that nobody answers counted as extending its lease, the run never
 // counted as over, and the job waited for ever.
 BOOST_AUTO_TEST_CASE(a_run_on_a_worker_that_never_answers_again_starts_elsewhere)
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -1,4 +1,5 @@
 #include "batch/pool_simulation.hpp"
+#include "heatherquay/protocol/batch/record_codec.hpp"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -240,6 +241,25 @@
     BOOST_TEST((pool.stateOf(idOf("b")) == JobState::Completed));
 }
 
+BOOST_AUTO_TEST_CASE(what_was_learned_fits_into_a_row_of_the_store)
+{
+    Scheduler scheduler;
+    LearnedRecord learned;
+    for (int i = 0; i < 3'000; ++i) {
+        WorkerSpec worker;
+        worker.id.value = "i-0123456789" + std::to_string(i);
+        worker.incarnation.value = 1'700'000'000'000;
+        worker.service = "service";
+        scheduler.registerWorker(worker, state::Instant(1s), state::Instant(1s));
+        learned.workers.push_back({worker.id, worker.incarnation.value, 1 + i * 0.001});
+    }
+    scheduler.restoreLearned(learned);
+    const LearnedRecord again = scheduler.learned();
+    BOOST_TEST(protocol::batch::encodeLearned(again).size() < 65'536U);
+    BOOST_REQUIRE(!again.workers.empty());
+    BOOST_TEST(again.workers.front().slowness > 3.9);
+}
+
 BOOST_AUTO_TEST_CASE(tasks_that_fill_keep_away_from_tasks_that_serve)
 {
     PoolSimulation pool;
--- a/tests/emulator/memory_store.cpp
+++ b/tests/emulator/memory_store.cpp
@@ -32,6 +32,12 @@
         }
         return commit;
     }
+    for (const RowPut &put : transaction.puts) {
+        if (put.value.size() > rowBytesMax) {
+            commit.failure = "a value is too long";
+            return commit;
+        }
+    }
     ++m_version;
     for (const RowPut &put : transaction.puts) {
         m_rows[put.key] = {put.key, put.value, m_version, false};
--- a/tests/emulator/memory_store.hpp
+++ b/tests/emulator/memory_store.hpp
@@ -34,6 +34,7 @@
     /// @return the value; empty when the row does not exist
     std::string value(const RowKey &key) const;
 
+    static constexpr std::size_t rowBytesMax = 65'536; ///< Longer values are refused, with all of their transaction.
     bool down{}; ///< Every call is refused.
     std::uint32_t loseAnswers{}; ///< So many of the next transactions are applied without an answer.
     std::uint32_t applyLate{}; ///< So many of the next transactions are not answered, and kept for applyKept().
