--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -513,7 +513,7 @@
     if (m_stopped) {
         co_return;
     }
-    transport::log(transport::LogLevel::Info, "run-stopped",
+    transport::log(transport::LogLevel::Info, "stop-ordered",
                    {{"task", toString(stop.task)},
                     {"run", std::to_string(stop.run)},
                     {"worker", stop.worker.value},
