--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -3,6 +3,8 @@
 #include "heatherquay/coordination/batch/decider_metrics.hpp"
 #include "heatherquay/coordination/batch/job_board.hpp"
 #include "heatherquay/coordination/batch/layout.hpp"
+#include "heatherquay/coordination/batch/order_queue.hpp"
+#include "heatherquay/coordination/batch/progress_reader.hpp"
 #include "heatherquay/coordination/batch/record_writer.hpp"
 #include "heatherquay/coordination/batch/table_mirror.hpp"
 #include "heatherquay/coordination/batch/worker_session.hpp"
@@ -14,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -90,7 +93,8 @@
     using Session = WorkerSession<Worker>;
 
     Decider(boost::asio::any_io_executor executor, Store &store, protocol::batch::FencingToken token,
-            DeciderPorts<Worker> ports, DeciderTimes times = {}, state::batch::SchedulerSettings settings = {});
+            DeciderPorts<Worker> ports, DeciderTimes times = {}, state::batch::SchedulerSettings settings = {},
+            OrderLimits orderLimits = {});
 
     /// Starts the loops and returns at once.
     void start();
@@ -112,6 +116,7 @@
 
 private:
     using std::enable_shared_from_this<Decider>::shared_from_this;
+    using Orders = OrderQueue<std::variant<state::batch::StartOrder, state::batch::StopOrder>>;
 
     boost::asio::awaitable<void> run();
     /// Restores the scheduler from the stored records.
@@ -123,21 +128,36 @@
     /// Removes the rows of jobs whose retention is over.
     boost::asio::awaitable<void> purgeEndedJobs();
     boost::asio::awaitable<void> pollLoop(std::shared_ptr<Session> session);
+    /// Waits until a poll that the worker answers at once may be sent.
+    boost::asio::awaitable<void> waitForPollSlot(std::shared_ptr<Session> session);
+    /// Lets through the queued polls that may be sent now, and sets a timer for the next one.
+    void grantPolls();
     /// Polls a worker once, extends its lease if allowed, and passes the answer to the scheduler.
     boost::asio::awaitable<void> poll(Session &session);
+    void queue(state::batch::StartOrder start);
+    void queue(state::batch::StopOrder stop);
+    /// Sends the queued orders that may be sent now, and sets a timer for the next one.
+    void sendOrders();
+    /// Sends one order and then those that its answer allows.
+    boost::asio::awaitable<void> send(typename Orders::Sent sent);
     boost::asio::awaitable<void> order(state::batch::StartOrder start);
     boost::asio::awaitable<void> order(state::batch::StopOrder stop);
     boost::asio::awaitable<void> adviceLoop();
+    void handleReplacedWorker(const Session &session);
     void applyJobRow(const protocol::batch::StoredRow &row);
     void applyWorkerRow(const protocol::batch::StoredRow &row);
     void admit(const state::batch::JobSpec &job);
     void openSession(const state::batch::WorkerSpec &spec);
-    void dispatch(std::vector<state::batch::StartOrder> starts);
     void report(const state::batch::Decision &decision) const;
     /// Starts the next pass without waiting for passIntervalMax.
     void wake();
-    /// Runs a coroutine on the executor and logs its exception.
-    void spawn(boost::asio::awaitable<void> task);
+    enum class TaskKind
+    {
+        Ordinary,
+        Essential ///< The decider cannot go on without it.
+    };
+    /// Runs a coroutine on the executor. Logs its exception, and ends the leadership when the task is essential.
+    void spawn(boost::asio::awaitable<void> task, TaskKind kind = TaskKind::Ordinary);
     /// @return whether the store confirmed the term recently enough to grant leases
     bool hasAuthority() const;
     /// @return the latest time, on this process's clock, at which a lease granted now expires and its runs have ended
@@ -155,11 +175,18 @@
     TableMirror<Store> m_jobs;
     TableMirror<Store> m_workers;
     boost::asio::steady_timer m_wake;
+    Orders m_orders;
+    boost::asio::steady_timer m_orderTimer;
+    /// Polls that are answered at once. After an election every worker needs one; sent all together, they would keep
+    /// the processor from the heartbeat and end the term.
+    OrderQueue<std::shared_ptr<Session>> m_polls;
+    boost::asio::steady_timer m_pollTimer;
     std::map<state::WorkerId, std::shared_ptr<Session>> m_sessions;
     std::map<state::JobId, state::batch::JobSpec> m_jobsBeforeRecovery; ///< Admitted after recovery.
     std::map<state::JobId, state::Instant> m_endedAt; ///< Ended jobs that are not purged yet.
     std::vector<state::batch::StartOrder> m_pendingStarts; ///< Sent to the workers once their records are stored.
     state::Instant m_termStartedAt;
+    std::chrono::milliseconds m_passDuration{}; ///< How long the latest decision took.
     state::Instant m_learnedSavedAt; ///< When the learned speeds were last stored.
     std::deque<state::batch::AdviceOrder> m_adviceOrders; ///< Sent one at a time.
     bool m_adviceLoopRunning{};
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -21,15 +21,25 @@
 
 constexpr auto waitTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 constexpr std::chrono::milliseconds idlePollInterval{1'000}; // Upper bound for a session without runs.
-constexpr std::uint32_t recordsPerPurgeMax = 100; // Rows read per job; the next pass removes the rest.
+constexpr double orderOverheadBytes = 450; // Request without payload, and the headers of its packets.
 constexpr std::uint32_t jobsPerPurgeMax = 20; // Per pass, so that a backlog does not delay decisions.
 
+constexpr std::uint32_t immediatePollsMax = 32; // Their answers take about 50 ms of a small processor share.
+constexpr double pollBytes = 400; // Request and the headers of its packets.
+
+/// @return the limits of polls that are answered at once
+inline OrderLimits pollLimits(OrderLimits limits)
+{
+    limits.inFlightMax = immediatePollsMax;
+    return limits;
+}
+
 } // namespace detail
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 Decider<Store, Worker>::Decider(boost::asio::any_io_executor executor, Store &store,
                                 protocol::batch::FencingToken token, DeciderPorts<Worker> ports, DeciderTimes times,
-                                state::batch::SchedulerSettings settings)
+                                state::batch::SchedulerSettings settings, OrderLimits orderLimits)
     : m_executor(std::move(executor))
     , m_store(store)
     , m_token(token)
@@ -48,6 +58,10 @@
                     applyWorkerRow(row);
                 })
     , m_wake(m_executor)
+    , m_orders(orderLimits)
+    , m_orderTimer(m_executor)
+    , m_polls(detail::pollLimits(orderLimits))
+    , m_pollTimer(m_executor)
 {
 }
 
@@ -60,12 +74,12 @@
         = [](std::shared_ptr<Decider> self, TableMirror<Store> Decider::*mirror) -> boost::asio::awaitable<void> {
         co_await ((*self).*mirror).run();
     };
-    spawn(follow(shared_from_this(), &Decider::m_jobs));
-    spawn(follow(shared_from_this(), &Decider::m_workers));
+    spawn(follow(shared_from_this(), &Decider::m_jobs), TaskKind::Essential);
+    spawn(follow(shared_from_this(), &Decider::m_workers), TaskKind::Essential);
     const auto runDecider = [](std::shared_ptr<Decider> self) -> boost::asio::awaitable<void> {
         co_await self->run();
     };
-    spawn(runDecider(shared_from_this()));
+    spawn(runDecider(shared_from_this()), TaskKind::Essential);
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
@@ -78,13 +92,15 @@
         session->closed = true;
         session->wake.cancel();
     }
+    m_orderTimer.cancel();
+    m_pollTimer.cancel();
     wake();
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
-void Decider<Store, Worker>::spawn(boost::asio::awaitable<void> task)
+void Decider<Store, Worker>::spawn(boost::asio::awaitable<void> task, TaskKind kind)
 {
-    boost::asio::co_spawn(m_executor, std::move(task), [](std::exception_ptr failure) {
+    const auto finished = [self = shared_from_this(), kind](std::exception_ptr failure) {
         if (!failure) {
             return;
         }
@@ -93,7 +109,12 @@
         } catch (const std::exception &error) {
             transport::log(transport::LogLevel::Error, "decider-task-failed", {{"error", error.what()}});
         }
-    });
+        if (kind == TaskKind::Essential && !self->m_stopped) {
+            // A leader that no longer schedules would keep the term for nothing.
+            self->m_ports.depose("a task of the decider failed");
+        }
+    };
+    boost::asio::co_spawn(m_executor, std::move(task), finished);
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
@@ -197,6 +218,10 @@
     }
     const auto spec = m_ports.readWorker(row);
     if (!spec) {
+        // Most likely from another writer. A known worker gets no new work while its row cannot be read.
+        transport::log(transport::LogLevel::Warn, "worker-row-unreadable",
+                       {{"worker", id.value}, {"row_version", std::to_string(row.version)}});
+        m_scheduler.unregisterWorker(id);
         return;
     }
     const state::batch::Worker *known = m_scheduler.workers().find(id);
@@ -243,7 +268,7 @@
     while (!m_stopped && (!m_jobs.loaded() || !m_workers.loaded())) {
         co_await protocol::waitFor(m_times.passIntervalMin);
     }
-    std::vector<state::batch::OccurrenceRecord> records;
+    ProgressReader progress;
     state::batch::LearnedRecord learned;
     protocol::batch::RowRange range{progressTable, deciderPart, {}, 500};
     bool more = true;
@@ -260,7 +285,7 @@
                     learned = protocol::batch::decodeLearned(row.value);
                     continue;
                 }
-                records.push_back(protocol::batch::decodeOccurrence(row.value));
+                progress.add(row);
             } catch (const Error &error) {
                 transport::log(transport::LogLevel::Error, "record-unreadable",
                                {{"row", row.key.key}, {"error", error.what()}});
@@ -288,12 +313,18 @@
     // start of this term.
     const state::Instant leaseUntil
         = m_termStartedAt + (latestLeaseExpiry(m_times.authorityTimeout + m_times.lease) - now());
+    const auto records = progress.records();
     for (const auto &record : records) {
         m_scheduler.restore(record, now(), leaseUntil);
     }
     m_scheduler.restoreLearned(learned);
     m_learnedSavedAt = now();
+    // A poll loop may end before spawn() returns and remove its session, so the loops start from a copy.
+    std::vector<std::shared_ptr<Session>> sessions;
     for (const auto &[id, session] : m_sessions) {
+        sessions.push_back(session);
+    }
+    for (const auto &session : sessions) {
         session->polling = true;
         spawn(pollLoop(session));
     }
@@ -318,7 +349,8 @@
         if (!stored) {
             co_await protocol::waitFor(m_times.passIntervalMax);
         }
-        co_await protocol::waitFor(m_times.passIntervalMin);
+        // Passes take at most a third of the time, so that heartbeats and answers are handled in between.
+        co_await protocol::waitFor(std::clamp(2 * m_passDuration, m_times.passIntervalMin, m_times.passIntervalMax));
         if (!m_wakePending && !m_stopped) {
             m_wake.expires_after(m_times.passIntervalMax);
             co_await m_wake.async_wait(detail::waitTuple);
@@ -331,12 +363,18 @@
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 boost::asio::awaitable<bool> Decider<Store, Worker>::pass()
 {
-    state::batch::Decision decision = m_scheduler.decide(now(), wallClockNow());
+    // Starts that could not be sent soon, or not at all without authority, are not planned.
+    const std::size_t startsMax = hasAuthority() ? m_orders.freeBacklog() : 0;
+    const auto begunAt = Clock::now();
+    state::batch::Decision decision = m_scheduler.decide(now(), wallClockNow(), startsMax);
+    m_passDuration = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begunAt);
+    m_ports.metrics->recordDecisionTime(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begunAt));
     report(decision);
     m_ports.metrics->countDecision(decision);
-    for (const auto &stop : decision.stops) {
-        spawn(order(stop));
+    for (state::batch::StopOrder &stop : decision.stops) {
+        queue(std::move(stop));
     }
+    sendOrders();
     m_adviceOrders.insert(m_adviceOrders.end(), decision.advice.begin(), decision.advice.end());
     if (!m_adviceOrders.empty() && !m_adviceLoopRunning) {
         m_adviceLoopRunning = true;
@@ -349,11 +387,8 @@
     }
     std::vector<protocol::batch::RowPut> rows;
     for (const auto &record : decision.records) {
-        std::size_t chunk = 0;
-        for (const auto &part : protocol::batch::splitOccurrence(record, unitsPerRow)) {
-            rows.push_back(
-                {progressRow(record.job, record.occurrence, chunk++), protocol::batch::encodeOccurrence(part)});
-        }
+        rows.push_back(
+            {progressRow(record.job, record.occurrence, record.block), protocol::batch::encodeOccurrence(record)});
     }
     for (const auto &status : decision.statuses) {
         rows.push_back({statusRow(status.job), protocol::batch::encodeStatus(status)});
@@ -388,7 +423,10 @@
             session->wake.cancel();
         }
     }
-    dispatch(std::exchange(m_pendingStarts, {}));
+    for (state::batch::StartOrder &start : std::exchange(m_pendingStarts, {})) {
+        queue(std::move(start));
+    }
+    sendOrders();
     co_return true;
 }
 
@@ -442,11 +480,54 @@
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
-void Decider<Store, Worker>::dispatch(std::vector<state::batch::StartOrder> starts)
+void Decider<Store, Worker>::queue(state::batch::StartOrder start)
+{
+    const OrderClass orderClass = start.urgent ? OrderClass::Urgent : OrderClass::Ordinary;
+    const double bytes = detail::orderOverheadBytes + static_cast<double>(start.payload.size());
+    const state::WorkerId worker = start.worker;
+    m_orders.push(orderClass, worker, bytes, std::move(start));
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::queue(state::batch::StopOrder stop)
 {
-    for (state::batch::StartOrder &start : starts) {
-        spawn(order(std::move(start)));
+    const state::WorkerId worker = stop.worker;
+    m_orders.push(OrderClass::Urgent, worker, detail::orderOverheadBytes, std::move(stop));
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::sendOrders()
+{
+    while (!m_stopped) {
+        auto sent = m_orders.pop(now());
+        if (!sent) {
+            break;
+        }
+        spawn(send(std::move(*sent)));
+    }
+    const auto wait = m_orders.nextSendIn(now());
+    if (m_stopped || !wait) {
+        return;
     }
+    m_orderTimer.expires_after(std::max(*wait, state::Duration(1)));
+    m_orderTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->sendOrders();
+        }
+    });
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::send(typename Orders::Sent sent)
+{
+    const auto self = shared_from_this();
+    if (auto *start = std::get_if<state::batch::StartOrder>(&sent.order)) {
+        co_await order(std::move(*start));
+    } else {
+        co_await order(std::move(std::get<state::batch::StopOrder>(sent.order)));
+    }
+    m_orders.answered(sent.ticket);
+    sendOrders();
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
@@ -478,9 +559,10 @@
     StartOutcome outcome = StartOutcome::Refused;
     if (answer.status == CallStatus::Answered) {
         outcome = StartOutcome::Started;
-    } else if (answer.status == CallStatus::Unknown || answer.status == CallStatus::NotSent) {
-        // An order that was not sent is retried like an unanswered one.
+    } else if (answer.status == CallStatus::Unknown) {
         outcome = StartOutcome::Unknown;
+    } else if (answer.status == CallStatus::NotSent) {
+        outcome = StartOutcome::NotSent;
     } else if (answer.status == CallStatus::NoCapacity) {
         outcome = StartOutcome::NoCapacity;
     } else if (answer.status == CallStatus::NoTicket) {
@@ -528,10 +610,20 @@
         session->wake.cancel();
     } else if (answer.status == protocol::batch::CallStatus::Fenced) {
         m_ports.depose("a worker has seen a higher fencing token");
+    } else if (answer.status == protocol::batch::CallStatus::OtherIncarnation) {
+        handleReplacedWorker(*session);
     }
     wake();
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::handleReplacedWorker(const Session &session)
+{
+    transport::log(transport::LogLevel::Info, "worker-replaced",
+                   {{"worker", session.id.value}, {"address", session.address}});
+    m_scheduler.workerReplaced(session.id);
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 boost::asio::awaitable<void> Decider<Store, Worker>::pollLoop(std::shared_ptr<Session> session)
 {
@@ -548,10 +640,21 @@
             co_await session->wake.async_wait(detail::waitTuple);
             continue;
         }
+        const state::batch::Worker *worker = m_scheduler.workers().find(session->id);
+        const bool answersLater = worker != nullptr && worker->runs > 0 && worker->fenced && !worker->unreachable;
+        if (!answersLater) {
+            co_await waitForPollSlot(session);
+        }
         if (m_stopped) {
             co_return;
         }
-        co_await poll(*session);
+        if (!session->closed) {
+            co_await poll(*session);
+        }
+        if (std::exchange(session->mayPoll, false)) {
+            m_polls.answered(session->pollTicket);
+            grantPolls();
+        }
     }
     session->polling = false;
     session->closed = true;
@@ -560,6 +663,43 @@
     }
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::waitForPollSlot(std::shared_ptr<Session> session)
+{
+    const state::batch::Worker *worker = m_scheduler.workers().find(session->id);
+    const bool runs = worker != nullptr && worker->runs > 0;
+    m_polls.push(runs ? OrderClass::Urgent : OrderClass::Ordinary, session->id, detail::pollBytes, session);
+    grantPolls();
+    while (!session->mayPoll && !m_stopped) {
+        session->wake.expires_after(detail::idlePollInterval);
+        co_await session->wake.async_wait(detail::waitTuple);
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::grantPolls()
+{
+    while (!m_stopped) {
+        auto granted = m_polls.pop(now());
+        if (!granted) {
+            break;
+        }
+        granted->order->mayPoll = true;
+        granted->order->pollTicket = granted->ticket;
+        granted->order->wake.cancel();
+    }
+    const auto wait = m_polls.nextSendIn(now());
+    if (m_stopped || !wait) {
+        return;
+    }
+    m_pollTimer.expires_after(std::max(*wait, state::Duration(1)));
+    m_pollTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->grantPolls();
+        }
+    });
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 boost::asio::awaitable<void> Decider<Store, Worker>::poll(Session &session)
 {
@@ -587,6 +727,12 @@
         m_ports.depose("a worker has seen a higher fencing token");
         co_return;
     }
+    if (answer.status == protocol::batch::CallStatus::OtherIncarnation) {
+        handleReplacedWorker(session);
+        wake();
+        co_await protocol::waitFor(m_times.pollRetryDelay);
+        co_return;
+    }
     if (answer.status != protocol::batch::CallStatus::Answered) {
         if (++session.failures == 1) {
             transport::log(transport::LogLevel::Warn, "worker-silent",
@@ -619,6 +765,7 @@
         }
     }
     // From its first answer on, the worker rejects earlier deciders, so that their leases end no later than a new one.
+    worker = m_scheduler.workers().find(session.id); // It may have been removed while the poll was open.
     if (worker != nullptr && !worker->fenced) {
         m_scheduler.predecessorsFenced(session.id, latestLeaseExpiry(m_times.lease));
     }
@@ -637,18 +784,20 @@
     }
     for (const state::JobId &job : due) {
         // The intake row is removed last: the job counts as known while it exists.
-        const protocol::batch::RowRange range{progressTable, deciderPart, job.value, detail::recordsPerPurgeMax};
+        const protocol::batch::RowRange range{progressTable, deciderPart, job.value,
+                                              static_cast<std::uint32_t>(RecordWriter<Store>::rowsPerTransactionMax)};
         const auto page = co_await m_store.read(range, m_times.orderTimeout);
         if (!page.ok || m_stopped) {
             co_return;
         }
         std::vector<protocol::batch::RowKey> rows;
         for (const auto &row : page.rows) {
-            if (row.key.key.starts_with(job.value + ".") && rows.size() < RecordWriter<Store>::rowsPerTransactionMax) {
+            if (row.key.key.starts_with(job.value + ".")) {
                 rows.push_back(row.key);
             }
         }
-        const bool last = rows.size() < RecordWriter<Store>::rowsPerTransactionMax && !page.more;
+        // The rows after those of this job belong to other jobs.
+        const bool last = rows.size() < page.rows.size() || !page.more;
         if (last) {
             rows.push_back(statusRow(job));
         }
--- a/src/heatherquay/coordination/batch/decider_metrics.cpp
+++ b/src/heatherquay/coordination/batch/decider_metrics.cpp
@@ -10,7 +10,7 @@
 
 std::string startOutcomeName(state::batch::StartOutcome outcome)
 {
-    constexpr std::array<const char *, 5> names{"started", "refused", "no-room", "no-ticket", "unknown"};
+    constexpr std::array<const char *, 6> names{"started", "refused", "no-room", "no-ticket", "not-sent", "unknown"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -34,6 +34,7 @@
           registry.histogram("heatherquay_job_start_seconds", "Time from acceptance of a job to its first start"))
     , m_completionLatency(
           registry.histogram("heatherquay_job_end_seconds", "Time from acceptance of a job to its completion"))
+    , m_decisionTime(registry.histogram("heatherquay_decision_seconds", "Time of one scheduling decision"))
 {
 }
 
@@ -57,6 +58,11 @@
         .add(decision.hung.size());
 }
 
+void DeciderMetrics::recordDecisionTime(std::chrono::microseconds time)
+{
+    m_decisionTime.record(time);
+}
+
 void DeciderMetrics::countStart(state::batch::StartOutcome outcome)
 {
     m_registry
--- a/src/heatherquay/coordination/batch/decider_metrics.hpp
+++ b/src/heatherquay/coordination/batch/decider_metrics.hpp
@@ -20,11 +20,14 @@
     void countPoll(bool answered);
     void countEnd(state::batch::EndKind kind);
     void countRecordWrite(bool stored);
+    /// @param time how long the scheduler took for one decision
+    void recordDecisionTime(std::chrono::microseconds time);
 
 private:
     transport::MetricsRegistry &m_registry;
     transport::LatencyHistogram &m_startLatency;
     transport::LatencyHistogram &m_completionLatency;
+    transport::LatencyHistogram &m_decisionTime;
 };
 
 /// @return the name of a job's state in logs and metrics, such as "running"
--- a/src/heatherquay/coordination/batch/layout.hpp
+++ b/src/heatherquay/coordination/batch/layout.hpp
@@ -20,9 +20,6 @@
 constexpr const char *deciderPart = "decider";
 constexpr const char *membersPart = "members";
 
-// Units per progress row. A unit takes at most 110 bytes, and the store limits a row to 64 KB.
-constexpr std::size_t unitsPerRow = 500;
-
 // Board keys that are not job ids. Job ids are hexadecimal, so that the '!' prevents a clash.
 constexpr const char *termKey = "!term";
 constexpr const char *heartbeatKey = "!pulse";
@@ -49,10 +46,10 @@
 {
     return {progressTable, deciderPart, learnedKey};
 }
-/// @param chunk index of the row; an occurrence with more than unitsPerRow units takes several rows
-inline protocol::batch::RowKey progressRow(const state::JobId &job, std::uint32_t occurrence, std::size_t chunk)
+/// @return the key of the row with one block of an occurrence's units
+inline protocol::batch::RowKey progressRow(const state::JobId &job, std::uint32_t occurrence, std::uint32_t block)
 {
-    return {progressTable, deciderPart, job.value + "." + std::to_string(occurrence) + "." + std::to_string(chunk)};
+    return {progressTable, deciderPart, job.value + "." + std::to_string(occurrence) + "." + std::to_string(block)};
 }
 
 } // namespace heatherquay::coordination::batch
--- a/src/heatherquay/coordination/batch/table_mirror.hpp
+++ b/src/heatherquay/coordination/batch/table_mirror.hpp
@@ -5,6 +5,8 @@
 #include "heatherquay/transport/log.hpp"
 
 #include <chrono>
+#include <cstdint>
+#include <exception>
 #include <functional>
 #include <map>
 #include <set>
@@ -37,7 +39,7 @@
     using Clock = std::chrono::steady_clock;
 
     /// @param parts the parts to load; the change feed reports changes of all parts
-    /// @param onRow called for each new, changed or removed row
+    /// @param onRow called for each new, changed or removed row; a row for which it throws is logged and skipped
     TableMirror(Store &store, std::string table, std::vector<std::string> parts, OnRow onRow, MirrorTimes times = {})
         : m_store(store)
         , m_table(std::move(table))
@@ -53,6 +55,11 @@
     {
         m_stopped = true;
     }
+    /// Sets the pause between two calls; a longer one delays changes and saves calls.
+    void setFollowPause(std::chrono::milliseconds pause)
+    {
+        m_times.followPause = pause;
+    }
     bool stopped() const
     {
         return m_stopped;
@@ -77,6 +84,11 @@
     {
         return m_healthy;
     }
+    /// @return the number of rows that the callback rejected with an exception
+    std::uint64_t rowsSkipped() const
+    {
+        return m_rowsSkipped;
+    }
 
 private:
     boost::asio::awaitable<bool> load();
@@ -97,6 +109,7 @@
     bool m_loaded{};
     bool m_healthy{};
     bool m_stopped{};
+    std::uint64_t m_rowsSkipped{};
     Clock::time_point m_succeededAt;
     Clock::time_point m_healthySince;
 };
@@ -136,7 +149,18 @@
     } else {
         m_versions[row.key] = row.version;
     }
-    m_onRow(row);
+    // Other writers can store any value. A row that cannot be applied must not stop the rows after it.
+    try {
+        m_onRow(row);
+    } catch (const std::exception &error) {
+        ++m_rowsSkipped;
+        transport::log(transport::LogLevel::Error, "row-skipped",
+                       {{"table", m_table},
+                        {"part", row.key.part},
+                        {"key", row.key.key},
+                        {"row_version", std::to_string(row.version)},
+                        {"error", error.what()}});
+    }
 }
 
 template<protocol::batch::RowStore Store>
--- a/src/heatherquay/coordination/batch/worker_session.hpp
+++ b/src/heatherquay/coordination/batch/worker_session.hpp
@@ -39,6 +39,8 @@
     std::uint64_t confirmedEnd{}; ///< Number of the newest run end whose records are stored.
     std::uint32_t failures{}; ///< Consecutive unanswered polls.
     bool polling{}; ///< The poll loop is running.
+    bool mayPoll{}; ///< The queue of polls has let this session's poll through.
+    std::uint64_t pollTicket{}; ///< Of that poll.
     bool closed{};
 
     /// Records a reading of the worker's clock.
--- a/src/heatherquay/protocol/batch/record_codec.cpp
+++ b/src/heatherquay/protocol/batch/record_codec.cpp
@@ -177,23 +177,6 @@
     return detail::decode<state::batch::JobSpec>(text, "job");
 }
 
-std::vector<state::batch::OccurrenceRecord> splitOccurrence(const state::batch::OccurrenceRecord &record,
-                                                            std::size_t unitsMax)
-{
-    std::vector<state::batch::OccurrenceRecord> parts;
-    std::size_t next = 0;
-    do {
-        state::batch::OccurrenceRecord &part = parts.emplace_back();
-        part.job = record.job;
-        part.occurrence = record.occurrence;
-        const std::size_t end = std::min(next + unitsMax, record.units.size());
-        part.units.assign(record.units.begin() + static_cast<std::ptrdiff_t>(next),
-                          record.units.begin() + static_cast<std::ptrdiff_t>(end));
-        next = end;
-    } while (next < record.units.size());
-    return parts;
-}
-
 std::string encodeOccurrence(const state::batch::OccurrenceRecord &record)
 {
     return detail::encode(record);
--- a/src/heatherquay/protocol/batch/record_codec.hpp
+++ b/src/heatherquay/protocol/batch/record_codec.hpp
@@ -13,9 +13,6 @@
 /// @throws Error(BadInput) when @p text is not an encoded job
 state::batch::JobSpec decodeJob(const std::string &text);
 
-/// @return the record split into parts of at most @p unitsMax units; at least one part
-std::vector<state::batch::OccurrenceRecord> splitOccurrence(const state::batch::OccurrenceRecord &record,
-                                                            std::size_t unitsMax);
 /// @return the progress of an occurrence as JSON text for a row
 std::string encodeOccurrence(const state::batch::OccurrenceRecord &record);
 /// @throws Error(BadInput) when @p text is not an encoded record
--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -64,16 +64,25 @@
     return allocation;
 }
 
-Placement::Placement(const WorkerPool &pool, Instant now)
+Placement::Placement(const WorkerPool &pool, Instant now, std::uint64_t *examined)
     : m_pool(pool)
     , m_now(now)
+    , m_examined(examined)
 {
 }
 
+void Placement::noteExamined(std::size_t workers) const
+{
+    if (m_examined != nullptr) {
+        *m_examined += workers;
+    }
+}
+
 Placement::Candidates Placement::candidates(const PlacementRequest &request,
                                             const std::map<WorkerId, ReclaimableResources> *reclaimable) const
 {
     Candidates found;
+    noteExamined(m_pool.all().size());
     const StepSpec &step = *request.step;
     const Resources allocation = allocationOf(step);
     for (const auto &[id, worker] : m_pool.all()) {
@@ -145,6 +154,44 @@
     return eviction;
 }
 
+std::optional<Placement::Offer> Placement::offerOf(const Candidate &candidate, const PlacementRequest &request,
+                                                   const std::vector<const Unit *> &plannedVictims)
+{
+    const Resources allocation = allocationOf(*request.step);
+    auto eviction = candidate.tasksLeft == 0 ? std::nullopt : planEviction(candidate, allocation, plannedVictims);
+    if (!eviction) {
+        return std::nullopt;
+    }
+    Resources left = eviction->available;
+    left -= allocation;
+    const Worker &worker = *candidate.worker;
+    double score = detail::leftoverAcceleratorWeight * static_cast<double>(std::max<std::int64_t>(left.accelerators, 0))
+        + detail::leftoverCpuWeight * static_cast<double>(std::max<std::int64_t>(left.cpuMillicores, 0))
+            / static_cast<double>(std::max<std::int64_t>(worker.spec.capacity.cpuMillicores, 1));
+    score += detail::slownessScore(worker.slowness, request);
+    // Tasks without checkpoints share workers, so that other workers can be preempted without losing work.
+    const bool besideUncheckpointed = worker.uncheckpointedRuns > 0;
+    if (!request.urgent && besideUncheckpointed == request.step->savesProgress) {
+        score += detail::mixedCheckpointingWeight;
+    }
+    if (candidate.avoided) {
+        score += detail::avoidedWorkerPenalty;
+    }
+    if (!eviction->units.empty()) {
+        score += detail::lostWorkWeight * eviction->cost + 1;
+    }
+    return Offer{score, std::move(eviction->units)};
+}
+
+bool Placement::losesRun(const Candidate &candidate, const std::vector<const Unit *> &victims)
+{
+    return candidate.reclaimable != nullptr
+        && std::any_of(candidate.reclaimable->runs.begin(), candidate.reclaimable->runs.end(),
+                       [&victims](const EvictableRuns &run) {
+                           return std::find(victims.begin(), victims.end(), run.unit) != victims.end();
+                       });
+}
+
 std::optional<PlacementWithEviction> Placement::placeTasks(Candidates pool, const PlacementRequest &request,
                                                            double &cost) const
 {
@@ -152,48 +199,34 @@
     PlacementWithEviction chosen;
     chosen.workers.reserve(request.tasks);
     cost = 0;
+    // An offer changes only when its worker takes a task or one of its runs is chosen as a victim.
+    std::vector<std::optional<Offer>> offers;
+    offers.reserve(pool.size());
+    for (const Candidate &candidate : pool) {
+        offers.push_back(offerOf(candidate, request, {}));
+    }
+    noteExamined(pool.size());
     for (std::uint32_t task = 0; task < request.tasks; ++task) {
-        Candidate *best = nullptr;
-        Eviction bestEviction;
-        double bestScore = std::numeric_limits<double>::max();
-        for (Candidate &candidate : pool) {
-            const auto eviction
-                = candidate.tasksLeft == 0 ? std::nullopt : planEviction(candidate, allocation, chosen.evictedUnits);
-            if (!eviction) {
-                continue;
-            }
-            Resources left = eviction->available;
-            left -= allocation;
-            double score
-                = detail::leftoverAcceleratorWeight * static_cast<double>(std::max<std::int64_t>(left.accelerators, 0))
-                + detail::leftoverCpuWeight * static_cast<double>(std::max<std::int64_t>(left.cpuMillicores, 0))
-                    / static_cast<double>(std::max<std::int64_t>(candidate.worker->spec.capacity.cpuMillicores, 1));
-            score += detail::slownessScore(candidate.worker->slowness, request);
-            // Tasks without checkpoints share workers, so that other workers can be preempted without losing work.
-            const bool besideUncheckpointed = candidate.worker->uncheckpointedRuns > 0;
-            if (!request.urgent && besideUncheckpointed == request.step->savesProgress) {
-                score += detail::mixedCheckpointingWeight;
-            }
-            if (candidate.avoided) {
-                score += detail::avoidedWorkerPenalty;
-            }
-            if (!eviction->units.empty()) {
-                score += detail::lostWorkWeight * eviction->cost + 1;
-            }
-            if (score < bestScore) {
-                bestScore = score;
-                best = &candidate;
-                bestEviction = *eviction;
+        std::size_t best = pool.size();
+        for (std::size_t i = 0; i < pool.size(); ++i) {
+            if (offers[i] && (best == pool.size() || offers[i]->score < offers[best]->score)) {
+                best = i;
             }
         }
-        if (best == nullptr) {
+        if (best == pool.size()) {
             break;
         }
-        chosen.evictedUnits.insert(chosen.evictedUnits.end(), bestEviction.units.begin(), bestEviction.units.end());
-        best->available -= allocation;
-        --best->tasksLeft;
-        cost += bestScore;
-        chosen.workers.push_back(best->worker->spec.id);
+        const std::vector<const Unit *> victims = std::move(offers[best]->victims);
+        cost += offers[best]->score;
+        pool[best].available -= allocation;
+        --pool[best].tasksLeft;
+        chosen.workers.push_back(pool[best].worker->spec.id);
+        chosen.evictedUnits.insert(chosen.evictedUnits.end(), victims.begin(), victims.end());
+        for (std::size_t i = 0; i < pool.size(); ++i) {
+            if (i == best || (!victims.empty() && losesRun(pool[i], victims))) {
+                offers[i] = offerOf(pool[i], request, chosen.evictedUnits);
+            }
+        }
     }
     return chosen.workers.size() >= std::max(request.tasksMin, 1U) ? std::optional(chosen) : std::nullopt;
 }
--- a/src/heatherquay/state/batch/placement.hpp
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -3,6 +3,7 @@
 #include "heatherquay/state/batch/unit.hpp"
 #include "heatherquay/state/batch/worker_pool.hpp"
 
+#include <cstdint>
 #include <limits>
 #include <optional>
 #include <set>
@@ -17,6 +18,7 @@
     const StepSpec *step{};
     std::string service;
     std::uint32_t tasks{1};
+    std::size_t tasksMax{std::numeric_limits<std::size_t>::max()}; ///< Most single tasks to place in this pass.
     std::uint32_t tasksMin{1}; ///< Placement fails when fewer tasks fit. Equals tasks for a gang.
     WorkerId avoided; ///< Worker to use only when no other fits.
     /// Number of tasks of the step on each worker; set only when the step has tasksPerWorkerMax.
@@ -57,7 +59,8 @@
 class Placement
 {
 public:
-    Placement(const WorkerPool &pool, Instant now);
+    /// @param examined incremented by the number of workers examined; may be null
+    Placement(const WorkerPool &pool, Instant now, std::uint64_t *examined = nullptr);
 
     /// Places tasks on resources that are free now.
     /// A gang with sameRack is placed within one rack, unless every rack is too small for it.
@@ -93,6 +96,18 @@
         std::vector<const Unit *> units; ///< Units to evict.
     };
 
+    /// The best way to place one task on a candidate.
+    struct Offer
+    {
+        double score{}; ///< Lower is better.
+        std::vector<const Unit *> victims; ///< Units to evict.
+    };
+
+    /// @return the candidate's offer; nothing when the task does not fit
+    static std::optional<Offer> offerOf(const Candidate &candidate, const PlacementRequest &request,
+                                        const std::vector<const Unit *> &plannedVictims);
+    /// @return whether one of the victims has runs on the candidate
+    static bool losesRun(const Candidate &candidate, const std::vector<const Unit *> &victims);
     /// @return the workers that can run the step, by rack, whatever they run at present
     std::map<std::string, Candidates> workersByRack(const PlacementRequest &request) const;
     Candidates candidates(const PlacementRequest &request,
@@ -110,8 +125,11 @@
     /// @return how many tasks of the step fit on the workers when they are idle
     static std::uint32_t idleTaskCapacity(const Candidates &pool, const PlacementRequest &request);
 
+    void noteExamined(std::size_t workers) const;
+
     const WorkerPool &m_pool;
     Instant m_now;
+    std::uint64_t *m_examined;
 };
 
 /// @return the resources that one task of the step is allocated on a worker; a best-effort task gets no CPU
--- a/src/heatherquay/state/batch/progress.hpp
+++ b/src/heatherquay/state/batch/progress.hpp
@@ -38,11 +38,12 @@
     friend bool operator==(const UnitRecord &, const UnitRecord &) = default;
 };
 
-/// Persisted state of one occurrence of a job. Omits units that never started.
+/// Persisted state of a block of consecutive units of one occurrence of a job. Omits units that never started.
 struct OccurrenceRecord
 {
     JobId job;
     std::uint32_t occurrence{};
+    std::uint32_t block{}; ///< Unit::block of the units; not stored, because the key of the row holds it.
     std::vector<UnitRecord> units;
 };
 
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -85,6 +85,8 @@
     }
     occurrence.number = number;
     occurrence.dueAt = dueAt;
+    std::uint32_t block = 0;
+    std::uint32_t tasksInBlock = 0;
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
         const StepSpec &spec = job.spec.steps[step];
         const std::uint32_t units = spec.gang ? std::min(spec.taskCount, 1U) : spec.taskCount;
@@ -93,7 +95,13 @@
             Unit &unit = occurrence.units.emplace_back();
             unit.step = step;
             unit.first = i;
+            unit.block = block;
             unit.waitingSince = now;
+            tasksInBlock += spec.gang ? spec.taskCount : 1;
+            if (tasksInBlock >= m_settings.tasksPerRecord) {
+                ++block;
+                tasksInBlock = 0;
+            }
         }
     }
     return occurrence;
@@ -109,6 +117,7 @@
     const Instant dueAt
         = job.spec.repetitions == 0 ? job.spec.acceptedAt : job.spec.firstRun + job.spec.interval * record.occurrence;
     Occurrence &occurrence = openOccurrence(job, record.occurrence, dueAt, now);
+    bool allInBlock = true;
     for (const UnitRecord &recorded : record.units) {
         const std::uint32_t index = unitIndex(job, recorded.step, recorded.first);
         if (recorded.step >= job.spec.steps.size() || index >= occurrence.units.size()) {
@@ -138,9 +147,13 @@
                 m_urgentAccelerators[job.spec.team] += allocationOf(job, unit).accelerators;
             }
             const auto position = static_cast<std::uint32_t>(unit.members.size() - 1);
-            m_runsOn[id].insert({record.job, record.occurrence, index, position});
+            m_runsOn[id].insert({&job, &occurrence, &unit, position});
         }
         unit.startedAt = now;
+        // Earlier versions recorded more units per row. Such a unit is recorded again, in the row of its block.
+        const bool inBlock = unit.block == record.block;
+        unit.recorded = inBlock ? recordedStateOf(unit) : RecordedState{};
+        allInBlock = allInBlock && inBlock;
         if (isFinal(job.state)) {
             // The job was cancelled while runs that the predecessor started were still active.
             stopUnit(unit);
@@ -149,7 +162,7 @@
             failIfAttemptsExhausted(job, unit);
         }
     }
-    occurrence.changed = false;
+    occurrence.changed = occurrence.needsRewrite = occurrence.needsRewrite || !allInBlock;
 }
 
 void Scheduler::registerWorker(const WorkerSpec &spec, Instant now, Instant leaseUntil)
@@ -191,6 +204,23 @@
     }
 }
 
+void Scheduler::workerReplaced(const WorkerId &id)
+{
+    const std::set<RunRef> runs = m_runsOn[id];
+    m_pool.unregister(id);
+    for (const RunRef &ref : runs) {
+        const RunLocation run = findRun(ref);
+        if (detail::mayBeActive(*run.member)) {
+            run.occurrence->changed = true;
+            releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+        }
+        if (!run.unit->done) {
+            stopUnit(*run.unit);
+        }
+    }
+    m_pool.removeIfUnused(id);
+}
+
 void Scheduler::leaseExtended(const WorkerId &id, Instant until)
 {
     if (Worker *worker = m_pool.find(id)) {
@@ -255,6 +285,11 @@
             }
             member.incarnation = report.incarnation;
             member.reportedAt = now;
+            if (member.confirmedAt == Instant{}) {
+                member.confirmedAt = now;
+            }
+            // Gang members make progress only together.
+            run.unit->gangComplete = run.unit->gangComplete || entry.percent > 0;
             updateProgress(run, entry.percent, now);
             if (!entry.checkpoint.empty()) {
                 run.unit->checkpoint = entry.checkpoint;
@@ -419,7 +454,7 @@
     }
 }
 
-void Scheduler::releaseMember(const Job &job, const Occurrence &occurrence, Unit &unit, std::size_t position)
+void Scheduler::releaseMember(Job &job, Occurrence &occurrence, Unit &unit, std::size_t position)
 {
     Member &member = unit.members[position];
     if (member.phase == RunPhase::Gone) {
@@ -429,8 +464,7 @@
     if (job.policy.priority == 0) {
         m_urgentAccelerators[job.spec.team] -= allocationOf(job, unit).accelerators;
     }
-    const auto unitPosition = static_cast<std::uint32_t>(&unit - occurrence.units.data());
-    m_runsOn[member.worker].erase({job.spec.id, occurrence.number, unitPosition, static_cast<std::uint32_t>(position)});
+    m_runsOn[member.worker].erase({&job, &occurrence, &unit, static_cast<std::uint32_t>(position)});
     if (Worker *worker = m_pool.find(member.worker)) {
         worker->used -= allocationOf(job, unit);
         countRun(*worker, job, unit, -1);
@@ -461,8 +495,9 @@
     }
     Member &member = *located.member;
     member.orderAnsweredAt = now;
-    const bool refused = outcome != StartOutcome::Started && outcome != StartOutcome::Unknown;
-    if (refused && member.startAttempts > 1) {
+    const bool refused
+        = outcome != StartOutcome::Started && outcome != StartOutcome::Unknown && outcome != StartOutcome::NotSent;
+    if (refused && member.maybeSent) {
         // An earlier attempt was not answered, so its run may have ended already or may still start. The answer to a
         // stop order resolves this.
         member.phase = RunPhase::Uncertain;
@@ -473,11 +508,15 @@
     case StartOutcome::Started:
         member.phase = RunPhase::Running;
         member.startedAt = now;
+        member.confirmedAt = now;
         member.progressAt = now;
         member.percentKnown = located.unit->checkpoint.empty();
         return;
     case StartOutcome::Unknown:
-        member.phase = RunPhase::Uncertain;
+    case StartOutcome::NotSent:
+        member.maybeSent = member.maybeSent || outcome == StartOutcome::Unknown;
+        // A run that no order can have reached needs no stop order.
+        member.phase = member.maybeSent ? RunPhase::Uncertain : RunPhase::Planned;
         if (member.startAttempts >= m_settings.startAttemptsMax) {
             stopUnit(*located.unit);
         }
@@ -526,7 +565,7 @@
     located.member->orderAnsweredAt = now;
 }
 
-Decision Scheduler::decide(Instant now, Instant wall)
+Decision Scheduler::decide(Instant now, Instant wall, std::size_t startsMax)
 {
     Decision decision;
     if (now - m_decidedAt >= m_settings.passGapMax) {
@@ -538,7 +577,9 @@
     stopHungRuns(decision, now);
     closeRuns(now);
     startReserved(decision);
-    placeReadySteps(decision, now, wall);
+    if (startsMax > 0) {
+        placeReadySteps(decision, now, wall, startsMax);
+    }
     emitOrders(decision, now);
     collectRecords(decision, wall);
     return decision;
@@ -551,6 +592,11 @@
             if (const auto found = job->second.occurrences.find(record.occurrence);
                 found != job->second.occurrences.end()) {
                 found->second.changed = true;
+                for (Unit &unit : found->second.units) {
+                    if (unit.block == record.block) {
+                        unit.recorded = {};
+                    }
+                }
             }
         }
     }
@@ -676,10 +722,7 @@
 
 Scheduler::RunLocation Scheduler::findRun(const RunRef &ref)
 {
-    Job &job = m_jobs.at(ref.job);
-    Occurrence &occurrence = job.occurrences.at(ref.occurrence);
-    Unit &unit = occurrence.units.at(ref.unit);
-    return {&job, &occurrence, &unit, &unit.members.at(ref.member)};
+    return {ref.job, ref.occurrence, ref.unit, &ref.unit->members.at(ref.member)};
 }
 
 } // namespace heatherquay::state::batch
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -6,10 +6,12 @@
 #include "heatherquay/state/batch/worker_pool.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace heatherquay::state::batch
@@ -30,8 +32,19 @@
     Duration hungTimeMin{2'000}; ///< Longer than a worker may delay its answer to a poll.
     Duration hungTimeMax{5'000}; ///< Even slow runs make progress within this time.
     std::uint32_t reservedRacksMax{2}; ///< Racks reserved for gangs at the same time; a third of a small pool.
+    /// Pause after a gang or an urgent step found no place. A search over all workers takes milliseconds.
+    Duration placementRetry{50};
+    /// Workers examined in one pass; steps beyond are left for the next one. Bounds a pass to some tens of
+    /// milliseconds.
+    std::uint64_t examinedMax{100'000};
     /// Longest wait of an urgent job for a fast worker. After a longer one, it would be late on a fast worker too.
     Duration fastWorkerWait{1'000};
+    /// Tasks in one record. A change rewrites the record of its block, so that smaller blocks save bytes; each record
+    /// costs two entries of a transaction.
+    std::uint32_t tasksPerRecord{16};
+    /// Time from the start of a gang's first member in which the others must start. A gang that is still incomplete is
+    /// stopped as a whole, before the workers end the members one by one.
+    Duration gangStartTime{1'800};
     /// Start orders per run before it is given up. All fit into the time for which gang members wait for each other.
     std::uint32_t startAttemptsMax{4};
 };
@@ -46,6 +59,7 @@
     std::string payload;
     std::string checkpoint;
     std::string ticket; ///< From the placement advice; empty when the queue needs no advice.
+    bool urgent{}; ///< Of a job with priority 0.
 };
 
 /// Order to stop one run.
@@ -63,6 +77,7 @@
     Refused, ///< Not started.
     NoCapacity, ///< Not started: the worker has less free capacity than the scheduler assumes.
     NoTicket, ///< Not started: the ticket is no longer valid.
+    NotSent, ///< Nothing was sent, so that this order never starts the run.
     Unknown ///< Not answered: the worker may execute the order, now or later.
 };
 
@@ -125,6 +140,8 @@
     void workerAnswered(const WorkerId &id, const WorkerReport &report, Instant now);
     /// Reports that the latest call to the worker was not answered.
     void workerUnreachable(const WorkerId &id);
+    /// Reports that another worker answers at the worker's address, so that the worker and all its runs have ended.
+    void workerReplaced(const WorkerId &id);
     /// Must be called before any call that may extend the worker's lease.
     /// @param until the latest time at which the lease ends
     void leaseExtended(const WorkerId &id, Instant until);
@@ -149,7 +166,8 @@
     /// Runs one scheduling pass.
     /// @param now steady clock
     /// @param wall wall clock, for due times and deadlines
-    Decision decide(Instant now, Instant wall);
+    /// @param startsMax starts after which no further work is placed, except urgent work; 0 places nothing
+    Decision decide(Instant now, Instant wall, std::size_t startsMax = std::numeric_limits<std::size_t>::max());
     /// Includes the records of @p lost, which could not be stored, in the next decision again.
     void recordAgain(const Decision &lost);
 
@@ -168,15 +186,6 @@
     }
 
 private:
-    struct RunRef
-    {
-        JobId job;
-        std::uint32_t occurrence{};
-        std::uint32_t unit{};
-        std::uint32_t member{};
-
-        friend auto operator<=>(const RunRef &, const RunRef &) = default; // NOLINT(modernize-use-nullptr)
-    };
     struct RunLocation
     {
         Job *job{};
@@ -184,6 +193,26 @@
         Unit *unit{};
         Member *member{};
     };
+    /// A member that is placed on a worker. Jobs, occurrences and units keep their addresses while they exist.
+    struct RunRef
+    {
+        Job *job{};
+        Occurrence *occurrence{};
+        Unit *unit{};
+        std::uint32_t member{};
+
+        /// Orders by the ids, not by the addresses, so that decisions do not depend on the allocator.
+        friend bool operator<(const RunRef &left, const RunRef &right)
+        {
+            if (left.job != right.job) {
+                return left.job->spec.id < right.job->spec.id;
+            }
+            if (left.occurrence != right.occurrence) {
+                return left.occurrence->number < right.occurrence->number;
+            }
+            return std::tie(left.unit, left.member) < std::tie(right.unit, right.member);
+        }
+    };
     /// Placement advice for a step.
     struct Advice
     {
@@ -224,12 +253,14 @@
 
     /// @return the run, or null pointers when it is not the latest run of the task
     RunLocation findRun(const TaskId &task, std::uint32_t run);
-    RunLocation findRun(const RunRef &ref);
+    static RunLocation findRun(const RunRef &ref);
     const StepSpec &stepOf(const Job &job, const Unit &unit) const;
     /// @return whether the unit can be preempted and has no checkpoints, so that preemption loses its work
     bool losesWorkWhenStopped(const Job &job, const Unit &unit) const;
     Resources allocationOf(const Job &job, const Unit &unit) const;
     static TaskId taskOf(const Job &job, const Occurrence &occurrence, const Unit &unit, std::size_t member);
+    /// @return the unit's state as a record made now would hold it
+    static RecordedState recordedStateOf(const Unit &unit);
     static std::uint32_t unitIndex(const Job &job, std::uint32_t step, std::uint32_t index);
     Occurrence &openOccurrence(Job &job, std::uint32_t number, Instant dueAt, Instant now);
 
@@ -239,6 +270,8 @@
     void restartHangDetection(Instant now);
     bool isHung(const RunLocation &run) const;
     void stopHungRuns(Decision &decision, Instant now);
+    /// Stops the gang if some of its members have been waiting for the others for too long.
+    void stopIncompleteGang(const Job &job, Unit &unit, Instant now);
     /// Releases the units whose runs have all ended, so that they can be placed again.
     void closeRuns(Instant now);
     /// @return whether the job has ended, has no runs left and has no changes left to record
@@ -251,16 +284,16 @@
     /// Marks the unit's present run for stopping.
     void stopUnit(Unit &unit);
     /// Marks the member as gone and frees its resources.
-    void releaseMember(const Job &job, const Occurrence &occurrence, Unit &unit, std::size_t member);
+    void releaseMember(Job &job, Occurrence &occurrence, Unit &unit, std::size_t member);
     void handleRunEnd(RunLocation &run, const EndReport &end, Instant now);
 
     /// Starts reserved units whose victims have ended.
     void startReserved(Decision &decision);
-    void placeReadySteps(Decision &decision, Instant now, Instant wall);
+    void placeReadySteps(Decision &decision, Instant now, Instant wall, std::size_t startsMax);
     std::vector<ReadyStep> readySteps(Instant wall);
     bool dependenciesDone(const Job &job, const Occurrence &occurrence, std::uint32_t step) const;
     bool placeReadyStep(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
-                        const std::set<std::string> &reservedRacks);
+                        const std::set<std::string> &reservedRacks, std::size_t startsMax);
     bool placeOnFreeResources(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base);
     /// Evicts less urgent units and reserves their resources for the step.
     /// @return whether all waiting units of the step have a place
@@ -273,7 +306,10 @@
     void updateProgress(const RunLocation &run, std::uint32_t percent, Instant now);
     static void updateSlowness(Worker &worker, double ratio, double weight);
     bool withinGuarantee(const Job &job, const StepSpec &step, std::size_t tasks) const;
-    Victims victimsFor(const ReadyStep &ready, Instant now);
+    /// @return what work of this priority may evict; computed once a pass
+    const Victims &victimsFor(std::uint32_t priority, Instant now);
+    /// Moves an evicted unit from the runs that may be evicted to the resources that become free.
+    void noteEvicted(const Unit &unit);
     Victim victimOf(const RunLocation &run, Instant now) const;
     /// @return core-seconds of work that stopping the unit loses
     double lostWorkOf(const Job &job, const Unit &unit, Instant now) const;
@@ -287,9 +323,12 @@
                 Instant now);
     /// Begins a new run of a placed unit and adds its start orders to the decision.
     void planStart(Job &job, Occurrence &occurrence, Unit &unit, Decision &decision);
+    StartOrder startOrderOf(const RunLocation &run, std::size_t member) const;
     PlacementRequest requestFor(const Job &job, const Occurrence &occurrence, const StepSpec &step) const;
     void emitOrders(Decision &decision, Instant now);
     void collectRecords(Decision &decision, Instant wall);
+    /// Adds a record for each block of the occurrence that differs from its latest record.
+    static void collectChangedBlocks(const Job &job, Occurrence &occurrence, Decision &decision);
 
     SchedulerSettings m_settings;
     std::map<std::string, QueuePolicy> m_queues;
@@ -304,6 +343,8 @@
     std::map<std::pair<TaskId, std::uint32_t>, std::pair<WorkerId, Instant>> m_orphans;
     std::vector<StopOrder> m_orphanStops;
     Instant m_decidedAt; ///< Time of the latest pass.
+    std::map<std::uint32_t, Victims> m_victims; ///< By priority; valid for one pass.
+    std::uint64_t m_examined{}; ///< Workers examined for placement in this pass.
 };
 
 } // namespace heatherquay::state::batch
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -124,26 +124,39 @@
     return request;
 }
 
-void Scheduler::placeReadySteps(Decision &decision, Instant now, Instant wall)
+void Scheduler::placeReadySteps(Decision &decision, Instant now, Instant wall, std::size_t startsMax)
 {
     // An identical request that found no place earlier in this pass is skipped.
     using Shape
         = std::tuple<std::string, std::int64_t, std::int64_t, std::int64_t, std::string, std::string, std::uint32_t>;
     std::set<Shape> unplaceable;
     std::set<std::string> reservedRacks;
+    m_victims.clear();
+    m_examined = 0;
     for (const ReadyStep &ready : readySteps(wall)) {
         const StepSpec &step = ready.job->spec.steps[ready.step];
+        Unit &first = *ready.units.front();
+        // What is left for the next pass comes first there, because the steps that failed in this one pause.
+        if (now < first.placeAgainAt || m_examined >= m_settings.examinedMax) {
+            if (!first.reservedRack.empty() && reservedRacks.size() < m_settings.reservedRacksMax) {
+                reservedRacks.insert(first.reservedRack);
+            }
+            continue;
+        }
         const Resources allocation = batch::allocationOf(step);
         const Shape shape{ready.job->policy.service,     allocation.cpuMillicores, allocation.memoryMegabytes,
                           allocation.accelerators,       step.requiredLabel,       step.dataRack,
                           step.gang ? step.taskCount : 1};
         const bool urgent = ready.priority == 0;
-        if (unplaceable.contains(shape) && !urgent) {
+        if (!urgent && (unplaceable.contains(shape) || decision.starts.size() >= startsMax)) {
             continue;
         }
-        if (placeReadyStep(ready, decision, now, wall, reservedRacks)) {
+        if (placeReadyStep(ready, decision, now, wall, reservedRacks, startsMax)) {
             continue;
         }
+        if (step.gang || urgent) {
+            first.placeAgainAt = now + m_settings.placementRetry;
+        }
         if (step.gang && !urgent) {
             reserveRack(ready, now, reservedRacks);
         }
@@ -155,10 +168,11 @@
 }
 
 bool Scheduler::placeReadyStep(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
-                               const std::set<std::string> &reservedRacks)
+                               const std::set<std::string> &reservedRacks, std::size_t startsMax)
 {
     const StepSpec &step = ready.job->spec.steps[ready.step];
     PlacementRequest base = requestFor(*ready.job, *ready.occurrence, step);
+    base.tasksMax = startsMax - std::min(startsMax, decision.starts.size());
     if (ready.job->policy.advice) {
         const Advice *advice = adviceFor(ready, decision, now);
         if (advice == nullptr) {
@@ -185,6 +199,7 @@
         return placeOnFreeResources(ready, decision, now, base)
             || (step.gang && placeByEviction(ready, decision, now, base));
     }
+    base.tasksMax = std::numeric_limits<std::size_t>::max();
     base.urgent = true;
     base.slownessWeight = detail::urgentSlownessWeight;
     // On a worker slower than its stretch, an urgent job is late even when it starts at once.
@@ -284,7 +299,7 @@
                                      const PlacementRequest &base)
 {
     const StepSpec &step = ready.job->spec.steps[ready.step];
-    const Placement placement(m_pool, now);
+    const Placement placement(m_pool, now, &m_examined);
     if (step.gang) {
         Unit &unit = *ready.units.front();
         PlacementRequest request = base;
@@ -325,7 +340,7 @@
     }
     PlacementRequest request = base;
     request.stepTasks = requestFor(*ready.job, *ready.occurrence, step).stepTasks;
-    request.tasks = static_cast<std::uint32_t>(together.size());
+    request.tasks = static_cast<std::uint32_t>(std::min(together.size(), base.tasksMax));
     const auto chosen = placement.find(request);
     const std::size_t placed = chosen ? chosen->size() : 0;
     for (std::size_t i = 0; i < placed; ++i) {
@@ -357,10 +372,17 @@
         * std::chrono::duration<double>(lost).count();
 }
 
-Scheduler::Victims Scheduler::victimsFor(const ReadyStep &ready, Instant now)
+const Scheduler::Victims &Scheduler::victimsFor(std::uint32_t priority, Instant now)
 {
-    Victims victims;
+    const auto [position, added] = m_victims.try_emplace(priority);
+    Victims &victims = position->second;
+    if (!added) {
+        return victims;
+    }
     for (const auto &[id, runs] : m_runsOn) {
+        if (runs.empty()) {
+            continue;
+        }
         ReclaimableResources &reclaimable = victims.reclaimableByWorker[id];
         for (const RunRef &ref : runs) {
             const RunLocation run = findRun(ref);
@@ -370,13 +392,16 @@
                 continue;
             }
             const bool held = run.member->phase == RunPhase::Reserved;
-            if (held || run.job->policy.priority <= ready.priority || stepOf(*run.job, *run.unit).perpetual) {
+            if (held || run.job->policy.priority <= priority || stepOf(*run.job, *run.unit).perpetual) {
                 continue;
             }
-            const double cost = victims.units.try_emplace(run.unit, victimOf(run, now)).first->second.cost;
+            const auto known = victims.units.find(run.unit);
+            const double cost = known != victims.units.end()
+                ? known->second.cost
+                : victims.units.emplace(run.unit, victimOf(run, now)).first->second.cost;
             const auto same
-                = std::find_if(reclaimable.runs.begin(), reclaimable.runs.end(), [&](const EvictableRuns &known) {
-                      return known.unit == run.unit;
+                = std::find_if(reclaimable.runs.begin(), reclaimable.runs.end(), [&](const EvictableRuns &other) {
+                      return other.unit == run.unit;
                   });
             if (same == reclaimable.runs.end()) {
                 reclaimable.runs.push_back({freed, cost, run.unit});
@@ -392,6 +417,26 @@
     return victims;
 }
 
+void Scheduler::noteEvicted(const Unit &unit)
+{
+    for (auto &[priority, victims] : m_victims) {
+        for (const Member &member : unit.members) {
+            const auto found = victims.reclaimableByWorker.find(member.worker);
+            if (found == victims.reclaimableByWorker.end()) {
+                continue;
+            }
+            auto &runs = found->second.runs;
+            const auto run = std::find_if(runs.begin(), runs.end(), [&unit](const EvictableRuns &other) {
+                return other.unit == &unit;
+            });
+            if (run != runs.end()) {
+                found->second.pendingRelease += run->freed;
+                runs.erase(run);
+            }
+        }
+    }
+}
+
 Scheduler::Victim Scheduler::victimOf(const RunLocation &run, Instant now) const
 {
     const StepSpec &step = stepOf(*run.job, *run.unit);
@@ -418,11 +463,11 @@
         return true;
     }
     const std::uint32_t tasks = step.gang ? step.taskCount : static_cast<std::uint32_t>(waiting.size());
-    const Victims victims = victimsFor(ready, now);
+    const Victims &victims = victimsFor(ready.priority, now);
     PlacementRequest request = base;
     request.tasks = tasks;
     request.tasksMin = tasks;
-    const auto chosen = Placement(m_pool, now).findWithEviction(request, victims.reclaimableByWorker);
+    const auto chosen = Placement(m_pool, now, &m_examined).findWithEviction(request, victims.reclaimableByWorker);
     if (!chosen) {
         return false;
     }
@@ -443,6 +488,7 @@
         stopUnit(*victim.run.unit);
         decision.evictions.push_back(
             {taskOf(*victim.run.job, *victim.run.occurrence, *victim.run.unit, 0), job.spec.id, victim.lost});
+        noteEvicted(*victim.run.unit);
     }
     auto next = chosen->workers.begin();
     for (Unit *unit : waiting) {
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -104,12 +104,31 @@
     }
 }
 
+void Scheduler::stopIncompleteGang(const Job &job, Unit &unit, Instant now)
+{
+    if (!stepOf(job, unit).gang || unit.gangComplete || unit.stopping || unit.done) {
+        return;
+    }
+    Instant first = Instant::max();
+    bool complete = true;
+    for (const Member &member : unit.members) {
+        const bool confirmed = member.phase == RunPhase::Running && member.confirmedAt != Instant{};
+        complete = complete && confirmed;
+        first = confirmed ? std::min(first, member.confirmedAt) : first;
+    }
+    unit.gangComplete = complete;
+    if (!complete && first != Instant::max() && now - first >= m_settings.gangStartTime) {
+        stopUnit(unit);
+    }
+}
+
 void Scheduler::closeRuns(Instant now)
 {
     for (auto &[id, job] : m_jobs) {
         for (auto &[number, occurrence] : job.occurrences) {
             for (Unit &unit : occurrence.units) {
                 if (!unit.members.empty()) {
+                    stopIncompleteGang(job, unit, now);
                     closeRun(job, occurrence, unit, now);
                 }
             }
@@ -177,7 +196,6 @@
 void Scheduler::assign(Job &job, Occurrence &occurrence, Unit &unit, const std::vector<WorkerId> &chosen,
                        RunPhase phase, Instant now)
 {
-    const auto position = static_cast<std::uint32_t>(&unit - occurrence.units.data());
     for (std::uint32_t i = 0; i < chosen.size(); ++i) {
         Member &member = unit.members.emplace_back();
         Worker &worker = *m_pool.find(chosen[i]);
@@ -187,7 +205,7 @@
         member.progressAt = now;
         worker.used += allocationOf(job, unit);
         countRun(worker, job, unit, 1);
-        m_runsOn[chosen[i]].insert({job.spec.id, occurrence.number, position, i});
+        m_runsOn[chosen[i]].insert({&job, &occurrence, &unit, i});
     }
     if (job.policy.priority == 0) {
         m_urgentAccelerators[job.spec.team]
@@ -195,6 +213,7 @@
     }
     unit.startedAt = now;
     unit.stopping = false;
+    unit.gangComplete = false;
     unit.reservedRack.clear();
 }
 
@@ -209,11 +228,22 @@
     for (std::size_t i = 0; i < unit.members.size(); ++i) {
         Member &member = unit.members[i];
         member.phase = RunPhase::Planned;
-        decision.starts.push_back({taskOf(job, occurrence, unit, i), unit.run, member.worker, member.incarnation,
-                                   job.spec.payload, unit.checkpoint, ticketFor(job, occurrence, unit, member)});
+        decision.starts.push_back(startOrderOf({&job, &occurrence, &unit, &member}, i));
     }
 }
 
+StartOrder Scheduler::startOrderOf(const RunLocation &run, std::size_t member) const
+{
+    return {taskOf(*run.job, *run.occurrence, *run.unit, member),
+            run.unit->run,
+            run.member->worker,
+            run.member->incarnation,
+            run.job->spec.payload,
+            run.unit->checkpoint,
+            ticketFor(*run.job, *run.occurrence, *run.unit, *run.member),
+            run.job->policy.priority == 0};
+}
+
 std::string Scheduler::ticketFor(const Job &job, const Occurrence &occurrence, const Unit &unit,
                                  const Member &member) const
 {
@@ -245,13 +275,13 @@
                 decision.stops.push_back({task, run.unit->run, id});
             }
             // Start orders are idempotent: a worker starts a run only once.
-            const bool retryDue = member.phase == RunPhase::Uncertain && !member.stopWanted
-                && member.startAttempts < m_settings.startAttemptsMax
+            const bool unsent = member.phase == RunPhase::Planned && member.startAttempts > 0;
+            const bool retryDue = (member.phase == RunPhase::Uncertain || unsent) && !member.stopWanted
+                && !run.unit->stopping && member.startAttempts < m_settings.startAttemptsMax
                 && now >= member.orderAnsweredAt + m_settings.startRetry;
             if (retryDue) {
                 member.phase = RunPhase::Ordered;
-                decision.starts.push_back(
-                    {task, run.unit->run, id, member.incarnation, run.job->spec.payload, run.unit->checkpoint});
+                decision.starts.push_back(startOrderOf(run, ref.member));
             }
         }
     }
@@ -275,6 +305,48 @@
     return true;
 }
 
+RecordedState Scheduler::recordedStateOf(const Unit &unit)
+{
+    const bool active = std::any_of(unit.members.begin(), unit.members.end(), [](const Member &member) {
+        return member.phase != RunPhase::Gone && member.phase != RunPhase::Reserved;
+    });
+    return {unit.run, unit.failures, unit.failedRun, unit.done, active, active ? std::string() : unit.checkpoint};
+}
+
+void Scheduler::collectChangedBlocks(const Job &job, Occurrence &occurrence, Decision &decision)
+{
+    // The first blocks come last: they replace rows of earlier versions, which may hold units of later blocks too.
+    auto end = occurrence.units.end();
+    while (end != occurrence.units.begin()) {
+        const std::uint32_t block = std::prev(end)->block;
+        const auto begin = std::find_if(occurrence.units.begin(), end, [block](const Unit &unit) {
+            return unit.block == block;
+        });
+        const bool changed = std::any_of(begin, end, [](const Unit &unit) {
+            return recordedStateOf(unit) != unit.recorded;
+        });
+        if (changed) {
+            OccurrenceRecord &record = decision.records.emplace_back();
+            record.job = job.spec.id;
+            record.occurrence = occurrence.number;
+            record.block = block;
+            for (auto unit = begin; unit != end; ++unit) {
+                if (unit->run == 0) {
+                    continue;
+                }
+                unit->recorded = recordedStateOf(*unit);
+                UnitRecord &recorded = record.units.emplace_back();
+                recorded = {unit->step,      unit->first, unit->run,        unit->failures,
+                            unit->failedRun, unit->done,  unit->checkpoint, {}};
+                for (std::size_t i = 0; unit->recorded.active && i < unit->members.size(); ++i) {
+                    recorded.workers.push_back(unit->members[i].worker);
+                }
+            }
+        }
+        end = begin;
+    }
+}
+
 void Scheduler::collectRecords(Decision &decision, Instant wall)
 {
     for (auto position = m_jobs.begin(); position != m_jobs.end();) {
@@ -291,23 +363,8 @@
                 continue;
             }
             occurrence.changed = false;
-            OccurrenceRecord &record = decision.records.emplace_back();
-            record.job = job.spec.id;
-            record.occurrence = number;
-            for (const Unit &unit : occurrence.units) {
-                if (unit.run == 0) {
-                    continue;
-                }
-                UnitRecord &recorded = record.units.emplace_back();
-                recorded
-                    = {unit.step, unit.first, unit.run, unit.failures, unit.failedRun, unit.done, unit.checkpoint, {}};
-                const bool runs = std::any_of(unit.members.begin(), unit.members.end(), [](const Member &member) {
-                    return member.phase != RunPhase::Gone && member.phase != RunPhase::Reserved;
-                });
-                for (std::size_t i = 0; runs && i < unit.members.size(); ++i) {
-                    recorded.workers.push_back(unit.members[i].worker);
-                }
-            }
+            occurrence.needsRewrite = false;
+            collectChangedBlocks(job, occurrence, decision);
         }
         if (job.statusChanged) {
             job.statusChanged = false;
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -31,12 +31,27 @@
     bool stopAnswered{};
     Instant stopSentAt;
     std::uint32_t startAttempts{};
+    bool maybeSent{}; ///< An order without an answer may have reached the worker.
     std::uint32_t percent{}; ///< Progress of the task.
     bool percentKnown{}; ///< The progress was reported, or the run started without a checkpoint.
     Instant progressAt; ///< When the progress last changed.
     Instant reportedAt; ///< When the worker last listed the run.
     double millisecondsPerPercent{}; ///< Latest pace of the run; 0 until it is measured between two reports.
     Instant startedAt;
+    Instant confirmedAt; ///< When the worker first confirmed the run to this decider; zero before.
+};
+
+/// The part of a unit's state that its latest record holds.
+struct RecordedState
+{
+    std::uint32_t run{};
+    std::uint32_t failures{};
+    std::uint32_t failedRun{};
+    bool done{};
+    bool active{}; ///< The record lists the workers of the run.
+    std::string checkpoint; ///< Only while the unit has no active run: its worker reports newer ones.
+
+    friend bool operator==(const RecordedState &, const RecordedState &) = default;
 };
 
 /// Tasks that start together: all tasks of a gang, or a single task otherwise.
@@ -44,6 +59,8 @@
 {
     std::uint32_t step{};
     std::uint32_t first{}; ///< Index of its first task.
+    std::uint32_t block{}; ///< Units of a block are recorded together.
+    RecordedState recorded;
     std::uint32_t run{};
     std::uint32_t failures{};
     std::uint32_t failedRun{}; ///< Latest run counted in failures; 0 for none.
@@ -53,8 +70,10 @@
     std::vector<Member> members; ///< Empty while the unit is not placed.
     WorkerId avoided; ///< Worker on which the last run failed or hung.
     std::uint32_t evictions{}; ///< Number of preemptions by more urgent work.
+    bool gangComplete{}; ///< All members of the present run were there at the same time.
     std::string reservedRack; ///< Rack reserved for this gang until it fits there.
     Instant waitingSince;
+    Instant placeAgainAt; ///< The unit found no place; it is not tried again before this time.
     Instant startedAt;
 
     bool waiting() const
@@ -71,6 +90,7 @@
     std::vector<Unit> units;
     std::vector<std::uint32_t> unitsLeft; ///< Number of units not done, by step.
     bool changed{}; ///< Has changes that are not recorded yet.
+    bool needsRewrite{}; ///< Was restored from records with other blocks.
     bool finished{};
 };
 
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -4,6 +4,7 @@
 #include "heatherquay/coordination/batch/acceptance.hpp"
 #include "heatherquay/coordination/batch/decider.hpp"
 #include "heatherquay/coordination/batch/term.hpp"
+#include "heatherquay/error.hpp"
 
 #include <map>
 #include <memory>
@@ -21,6 +22,9 @@
 namespace
 {
 
+/// Id of a worker row that makes its decoder throw.
+constexpr const char *oddWorker = "odd";
+
 using TestDecider = Decider<test::MemoryStore, test::FakeWorker>;
 
 /// A decider with its own mirror of the store, as in a separate process.
@@ -65,6 +69,9 @@
             return workers.at(spec.id.value);
         };
         ports.readWorker = [&workers](const protocol::batch::StoredRow &row) {
+            if (row.key.key == oddWorker) {
+                throw Error(ErrorKind::BadInput, "odd row", "remove it");
+            }
             const auto found = workers.find(row.key.key);
             return found == workers.end() ? std::nullopt : std::optional(found->second->spec);
         };
@@ -255,6 +262,68 @@
     }
 }
 
+// Guards against a crash: the poll loop of a worker that is removed before the decider has recovered ends at once.
+BOOST_AUTO_TEST_CASE(a_worker_removed_during_recovery_does_not_end_the_decider)
+{
+    store.unreadableTable = progressTable;
+    start();
+    runFor(50ms);
+    store.remove({"workers", "", "w0"});
+    store.remove({"workers", "", "w1"});
+    runFor(50ms);
+    store.unreadableTable.clear();
+    runFor(100ms);
+    process->confirmedAt = std::chrono::steady_clock::now(); // Heartbeats do this outside of the test.
+    registerWorker("w0");
+    submit("a", 1);
+    runFor(500ms);
+    BOOST_TEST(completed("a"));
+}
+
+// Guards against a decider that no longer follows the table of workers after a row of another writer.
+BOOST_AUTO_TEST_CASE(an_odd_row_among_the_workers_is_skipped)
+{
+    store.put({"workers", "", oddWorker}, "first");
+    start();
+    runFor(50ms);
+    store.put({"workers", "", oddWorker}, "changed");
+    store.remove({"workers", "", "w0"});
+    store.remove({"workers", "", "w1"});
+    runFor(50ms);
+    store.remove({"workers", "", oddWorker});
+    registerWorker("w1");
+    submit("a", 1);
+    runFor(500ms);
+    BOOST_TEST(completed("a"));
+    BOOST_TEST(!process->deposed);
+}
+
+// Guards against records that grow with the size of the job: one change must not rewrite the rows of other blocks.
+BOOST_AUTO_TEST_CASE(the_end_of_one_task_rewrites_only_the_rows_of_its_block)
+{
+    for (auto &[id, worker] : workers) {
+        worker->taskDuration = 10s;
+        worker->spec.capacity = {2'000'000, 2'000'000, 2'000};
+    }
+    start();
+    submit("00000000000000aa", 200);
+    runFor(150ms);
+    std::map<std::uint32_t, std::string> before;
+    for (std::uint32_t block = 0; block < 12; ++block) {
+        before[block] = store.value(progressRow({"00000000000000aa"}, 0, block));
+        BOOST_TEST(!before[block].empty());
+    }
+    for (auto &[id, worker] : workers) {
+        worker->endRun({{"00000000000000aa"}, 0, 0, 100});
+    }
+    runFor(100ms);
+    std::size_t rewritten = 0;
+    for (std::uint32_t block = 0; block < 12; ++block) {
+        rewritten += store.value(progressRow({"00000000000000aa"}, 0, block)) != before[block] ? 1 : 0;
+    }
+    BOOST_TEST(rewritten == 1U);
+}
+
 // Guards against a job that waits forever after its worker disappears during a run. The run never counted as ended
 // while unanswered polls extended the worker's lease.
 BOOST_AUTO_TEST_CASE(a_run_on_a_worker_that_never_answers_again_starts_elsewhere)
--- a/tests/batch/pool_simulation.cpp
+++ b/tests/batch/pool_simulation.cpp
@@ -142,7 +142,7 @@
     sendReports();
     const Decision decision = m_scheduler->decide(m_now, m_now);
     for (const OccurrenceRecord &record : decision.records) {
-        m_records[{record.job, record.occurrence}] = record;
+        m_records[{record.job, record.occurrence, record.block}] = record;
     }
     for (const JobStatus &status : decision.statuses) {
         m_states[status.job] = status.state;
--- a/tests/batch/pool_simulation.hpp
+++ b/tests/batch/pool_simulation.hpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace heatherquay::test
@@ -122,7 +123,7 @@
     std::vector<SimulatedRun> m_runs;
     std::map<state::JobId, state::batch::JobState> m_states;
     std::map<state::JobId, state::Instant> m_ends;
-    std::map<std::pair<state::JobId, std::uint32_t>, state::batch::OccurrenceRecord> m_records;
+    std::map<std::tuple<state::JobId, std::uint32_t, std::uint32_t>, state::batch::OccurrenceRecord> m_records;
     std::map<TaskId, std::uint32_t> m_starts;
     std::set<TaskId> m_done;
     std::set<state::JobId> m_cancelled;
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -585,6 +585,104 @@
     checkNoViolations(pool);
 }
 
+// Guards against gang members that wait for one that never comes until their workers end them one by one. The order of
+// one member stays open, as after a cut of its worker.
+BOOST_AUTO_TEST_CASE(an_incomplete_gang_is_stopped_as_a_whole)
+{
+    state::Instant now{state::Duration(1'000'000)};
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 2, 3.0, state::Duration(1'000)}}});
+    for (const char *id : {"w0", "w1"}) {
+        const WorkerSpec worker = makeWorker(id);
+        scheduler.registerWorker(worker, now, now);
+        scheduler.workerAnswered(worker.id, {worker.incarnation, now, {}, {}}, now);
+    }
+    JobSpec job = makeJob("a", 2, largeTask, 10s);
+    job.steps.front().gang = true;
+    scheduler.submit(job, now);
+    const auto starts = scheduler.decide(now, now).starts;
+    BOOST_REQUIRE(starts.size() == 2U);
+    for (const StartOrder &start : starts) {
+        BOOST_REQUIRE(scheduler.beginStart(start.task, start.run));
+    }
+    scheduler.startAnswered(starts[0].task, 1, StartOutcome::Started, now);
+    std::size_t stops = 0;
+    const state::Instant startedAt = now;
+    for (; now < startedAt + 2'500ms && stops == 0; now += 50ms) {
+        scheduler.workerAnswered(starts[0].worker, {starts[0].incarnation, now, {{starts[0].task, 1, "", 0}}, {}}, now);
+        stops = scheduler.decide(now, now).stops.size();
+    }
+    BOOST_TEST(stops == 2U);
+    BOOST_TEST((now - startedAt < 2'400ms));
+}
+
+// Guards against giving up a gang that works, because one of its workers is silent after a failover.
+BOOST_AUTO_TEST_CASE(a_gang_that_makes_progress_survives_a_silent_member)
+{
+    state::Instant now{state::Duration(1'000'000)};
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 2, 3.0, state::Duration(1'000)}}});
+    JobSpec job = makeJob("a", 2, largeTask, 10s);
+    job.steps.front().gang = true;
+    scheduler.submit(job, now);
+    OccurrenceRecord record;
+    record.job = idOf("a");
+    record.units.push_back({0, 0, 1, 0, 0, false, {}, {{"w0"}, {"w1"}}});
+    scheduler.restore(record, now, now + 9s);
+    for (const char *id : {"w0", "w1"}) {
+        scheduler.registerWorker(makeWorker(id), now, now + 9s);
+    }
+    const TaskId first{idOf("a"), 0, 0, 0};
+    for (std::uint32_t percent = 10; percent < 60; percent += 1) {
+        now += 100ms;
+        scheduler.workerAnswered({"w0"}, {makeWorker("w0").incarnation, now, {{first, 1, "", percent}}, {}}, now);
+        BOOST_TEST(scheduler.decide(now, now).stops.empty());
+    }
+}
+
+// Guards against stop orders for runs that no order can have reached, and against giving up their places at once.
+BOOST_AUTO_TEST_CASE(an_order_that_was_not_sent_is_repeated_without_a_stop)
+{
+    state::Instant now{state::Duration(1'000'000)};
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 2, 3.0, state::Duration(1'000)}}});
+    const WorkerSpec worker = makeWorker("w0");
+    scheduler.registerWorker(worker, now, now);
+    scheduler.workerAnswered(worker.id, {worker.incarnation, now, {}, {}}, now);
+    scheduler.submit(makeJob("a", 1, smallTask, 1s), now);
+    std::uint32_t attempts = 0;
+    for (int i = 0; i < 40; ++i) {
+        const Decision decision = scheduler.decide(now, now);
+        BOOST_TEST(decision.stops.empty());
+        for (const StartOrder &start : decision.starts) {
+            BOOST_REQUIRE(scheduler.beginStart(start.task, start.run));
+            attempts += start.run == 1 ? 1 : 0;
+            scheduler.startAnswered(start.task, start.run, StartOutcome::NotSent, now);
+        }
+        now += 10ms;
+    }
+    BOOST_TEST(attempts == SchedulerSettings{}.startAttemptsMax);
+}
+
+// Guards against planning starts that cannot be sent: urgent work is exempt from the limit.
+BOOST_AUTO_TEST_CASE(no_more_starts_are_planned_than_the_limit_allows)
+{
+    state::Instant now{state::Duration(1'000'000)};
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 2, 3.0, state::Duration(1'000)}}, {"urgent", urgentPolicy()}});
+    const WorkerSpec worker = makeWorker("w0");
+    scheduler.registerWorker(worker, now, now);
+    scheduler.workerAnswered(worker.id, {worker.incarnation, now, {}, {}}, now);
+    scheduler.submit(makeJob("a", 8, {1'000, 1'000, 1}, 1s), now);
+    JobSpec urgent = makeJob("b", 1, {1'000, 1'000, 0}, 1s);
+    urgent.queue = "urgent";
+    scheduler.submit(urgent, now);
+    BOOST_TEST(scheduler.decide(now, now, 0).starts.empty());
+    BOOST_TEST(scheduler.decide(now, now, 3).starts.size() == 3U);
+    BOOST_TEST(scheduler.decide(now, now, 4).starts.size() == 4U);
+    BOOST_TEST(scheduler.decide(now, now).starts.size() == 2U);
+}
+
 // Guards against an extra attempt when the predecessor recorded the last failure but not the end of the job.
 BOOST_AUTO_TEST_CASE(a_successor_fails_a_job_without_attempts_left)
 {
--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -45,6 +45,13 @@
     }
 }
 
+void FakeWorker::endRun(const state::batch::TaskId &task)
+{
+    if (const auto run = m_runs.find(task); run != m_runs.end()) {
+        run->second.endsAt = Clock::now();
+    }
+}
+
 void FakeWorker::restart()
 {
     m_runs.clear();
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -46,6 +46,8 @@
 
     /// Drops all runs and state, and comes back as a new incarnation under the same id.
     void restart();
+    /// Ends one run as done at the next poll.
+    void endRun(const state::batch::TaskId &task);
     /// Ends the runs whose task has finished and, once the lease has expired, all others.
     void endDueRuns();
     std::size_t running() const
--- a/tests/emulator/memory_store.cpp
+++ b/tests/emulator/memory_store.cpp
@@ -88,9 +88,10 @@
 {
     co_await protocol::waitFor(detail::callLatency);
     RowRead result;
-    result.ok = !down;
+    result.ok = !down && range.table != unreadableTable;
     result.version = m_version;
-    for (auto row = m_rows.lower_bound({range.table, range.part, range.from}); !down && row != m_rows.end(); ++row) {
+    for (auto row = m_rows.lower_bound({range.table, range.part, range.from}); result.ok && row != m_rows.end();
+         ++row) {
         if (row->first.table != range.table || row->first.part != range.part) {
             break;
         }
--- a/tests/emulator/memory_store.hpp
+++ b/tests/emulator/memory_store.hpp
@@ -37,6 +37,7 @@
 
     static constexpr std::size_t rowBytesMax = 65'536; ///< A longer value makes the store reject the whole transaction.
     bool down{}; ///< The store rejects every call.
+    std::string unreadableTable; ///< The store rejects reads of this table.
     std::uint32_t loseResponses{}; ///< Number of next transactions that are applied but not answered.
     std::uint32_t
         deferTransactions{}; ///< Number of next transactions that are deferred until applyDeferred() and not answered.
--- a/tests/platform/wire_records_test.cpp
+++ b/tests/platform/wire_records_test.cpp
@@ -50,6 +50,40 @@
     BOOST_CHECK_THROW(parseSubmission(body), Error);
 }
 
+std::string registration(const std::string &address, const std::string &capacity)
+{
+    return R"({"service":"s","address":")" + address + R"(","state":"ready","born":1,"capacity":)" + capacity + "}";
+}
+
+// Guards against an address that no connection can be made to, which ended the task that follows the registrations, and
+// against numbers that overflow sums.
+BOOST_AUTO_TEST_CASE(a_registration_of_another_writer_names_no_worker)
+{
+    const std::string plain = R"({"cpu":1000,"memMb":1000,"gpu":8})";
+    BOOST_TEST(parseWorker("i", registration("10.0.0.1:80", plain)).has_value());
+    for (const char *address : {"10.0.0.1:99999", "10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1", "10.0.0.1:", "x:80",
+                                "10.0.0.1:-1", "0.0.0.0:80", "10.0.0.1:8x", ""}) {
+        BOOST_TEST(!parseWorker("i", registration(address, plain)).has_value(), address);
+    }
+    for (const char *capacity :
+         {R"({"cpu":-1})", R"({"cpu":9e18})", R"({"gpu":9223372036854775807})", R"([])", R"("x")", "null", "1e999"}) {
+        const auto worker = parseWorker("i", registration("10.0.0.1:80", capacity));
+        BOOST_TEST((!worker || worker->capacity.accelerators < 10), capacity);
+    }
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    BOOST_TEST(!parseWorker("i", nested).has_value());
+    BOOST_TEST(!parseWorker("i", registration("10.0.0.1:80", nested)).has_value());
+}
+
+// Guards against values that lose their upper bits before their range is checked.
+BOOST_DATA_TEST_CASE(counts_over_32_bits_are_refused,
+                     boost::unit_test::data::make({R"("count":4294967297)", R"("count":1,"antiAffinity":4294967296)",
+                                                   R"("count":1,"mayMiss":4294967296)"}),
+                     fields)
+{
+    BOOST_CHECK_THROW(parseSubmission(std::string(R"({"steps":[{)") + fields + "}]}"), Error);
+}
+
 // Guards against lost fields and a wrong rack, which is the second label.
 BOOST_AUTO_TEST_CASE(a_registration_is_read)
 {
