--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -44,6 +44,8 @@
     std::chrono::milliseconds pollWait{1'500};
     /// Time for the answer beyond pollWait; a worker without an answer by then counts as unreachable.
     std::chrono::milliseconds pollResponseMargin{900};
+    /// Pause after a poll that reported ends.
+    std::chrono::milliseconds pollPause{20};
     /// Pause after an unanswered poll.
     std::chrono::milliseconds pollRetryDelay{150};
     /// Timeout of start and stop orders. A healthy worker answers within 10 ms; orders are idempotent and are retried.
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -591,6 +591,7 @@
     const auto self = shared_from_this();
     const auto found = m_sessions.find(stop.worker);
     if (m_stopped || found == m_sessions.end()) {
+        m_scheduler.stopUnanswered(stop.task, stop.run, now());
         co_return;
     }
     const auto session = found->second;
@@ -608,7 +609,11 @@
     if (answer.status == protocol::batch::CallStatus::Answered) {
         m_scheduler.stopAnswered(stop.task, stop.run, now());
         session->wake.cancel();
-    } else if (answer.status == protocol::batch::CallStatus::Fenced) {
+        wake();
+        co_return;
+    }
+    m_scheduler.stopUnanswered(stop.task, stop.run, now());
+    if (answer.status == protocol::batch::CallStatus::Fenced) {
         m_ports.depose("a worker has seen a higher fencing token");
     } else if (answer.status == protocol::batch::CallStatus::OtherIncarnation) {
         handleReplacedWorker(*session);
@@ -771,6 +776,10 @@
     }
     m_scheduler.workerAnswered(session.id, answer.report, now());
     wake();
+    if (!answer.report.ended.empty()) {
+        // Runs of a gang end together, so that one further poll reports several of them.
+        co_await protocol::waitFor(m_times.pollPause);
+    }
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
--- a/src/heatherquay/coordination/batch/election.hpp
+++ b/src/heatherquay/coordination/batch/election.hpp
@@ -100,7 +100,8 @@
     bool canCampaign() const;
     boost::asio::awaitable<void> campaign();
     boost::asio::awaitable<void> sendHeartbeat();
-    void becomeLeader(std::uint64_t version);
+    /// @param campaignSentAt when the campaign was sent: the store confirmed the term no earlier than that
+    void becomeLeader(std::uint64_t version, Clock::time_point campaignSentAt);
 
     Store &m_store;
     TermRecord m_self;
@@ -112,6 +113,8 @@
     Clock::time_point m_leaderSeenAt;
     Clock::time_point m_confirmedAt;
     Clock::time_point m_heartbeatSentAt;
+    protocol::batch::FencingToken m_campaignToken; ///< Of the latest campaign.
+    Clock::time_point m_campaignSentAt; ///< Of the first campaign with that token; any of them may have succeeded.
     bool m_leading{};
     bool m_resigned{};
     bool m_takeoverRequested{};
@@ -137,7 +140,7 @@
     m_term = *term;
     if (own && !m_leading && !m_resigned) {
         // An earlier campaign succeeded, but its answer was lost.
-        becomeLeader(row.version);
+        becomeLeader(row.version, m_campaignToken == term->token ? m_campaignSentAt : Clock::time_point{});
         return;
     }
     m_termVersion = row.version;
@@ -147,12 +150,12 @@
 }
 
 template<protocol::batch::RowStore Store>
-void Election<Store>::becomeLeader(std::uint64_t version)
+void Election<Store>::becomeLeader(std::uint64_t version, Clock::time_point campaignSentAt)
 {
     m_termVersion = version;
     m_leading = true;
-    m_confirmedAt = Clock::now();
-    m_heartbeatSentAt = m_confirmedAt;
+    m_confirmedAt = campaignSentAt;
+    m_heartbeatSentAt = {}; // The first heartbeat is due at once.
     transport::log(transport::LogLevel::Info, "decider-elected",
                    {{"token", std::to_string(m_term.token.value)}, {"owner", m_self.owner}});
     m_ports.elected(m_term.token);
@@ -203,11 +206,16 @@
     protocol::batch::RowTransaction transaction;
     transaction.conditions.push_back(condition());
     transaction.puts.push_back({{boardTable, deciderPart, termKey}, encodeTerm(next)});
+    const auto sentAt = Clock::now();
+    if (m_campaignToken != next.token) {
+        m_campaignToken = next.token;
+        m_campaignSentAt = sentAt;
+    }
     const auto commit = co_await m_store.transact(transaction, m_times.callTimeout);
     if (commit.status == protocol::CommitStatus::Committed) {
         if (!m_leading && !m_resigned && commit.version > m_termVersion) {
             m_term = next;
-            becomeLeader(commit.version);
+            becomeLeader(commit.version, sentAt);
         }
     } else if (commit.status == protocol::CommitStatus::Conflict) {
         m_leaderSeenAt = Clock::now();
--- a/src/heatherquay/coordination/batch/layout.hpp
+++ b/src/heatherquay/coordination/batch/layout.hpp
@@ -19,6 +19,9 @@
 constexpr const char *intakePart = "intake";
 constexpr const char *deciderPart = "decider";
 constexpr const char *membersPart = "members";
+/// How well suited each process is to be the leader. Separate from the members, because earlier versions read those
+/// rows.
+constexpr const char *ranksPart = "ranks";
 
 // Board keys that are not job ids. Job ids are hexadecimal, so that the '!' prevents a clash.
 constexpr const char *termKey = "!term";
@@ -26,6 +29,11 @@
 
 constexpr const char *learnedKey = "!learned"; ///< In the progress table.
 
+/// @return the key of the row with the rank of the process on a VM
+inline protocol::batch::RowKey rankRow(const std::string &vm)
+{
+    return {boardTable, ranksPart, "!" + vm};
+}
 /// @return the key of the row with the job's specification
 inline protocol::batch::RowKey jobRow(const state::JobId &job)
 {
--- a/src/heatherquay/state/batch/job.cpp
+++ b/src/heatherquay/state/batch/job.cpp
@@ -7,6 +7,13 @@
 namespace heatherquay::state::batch
 {
 
+double coreEquivalents(const Resources &need)
+{
+    constexpr double coresPerAccelerator = 8;
+    return static_cast<double>(need.cpuMillicores) / 1'000
+        + coresPerAccelerator * static_cast<double>(need.accelerators);
+}
+
 std::string toString(const StepId &step)
 {
     return step.job.value + "." + std::to_string(step.occurrence) + "." + std::to_string(step.step);
--- a/src/heatherquay/state/batch/job.hpp
+++ b/src/heatherquay/state/batch/job.hpp
@@ -40,6 +40,9 @@
     friend bool operator==(const Resources &, const Resources &) = default;
 };
 
+/// @return the resources as a number of cores; an accelerator counts as eight
+double coreEquivalents(const Resources &need);
+
 /// A step of a job: a number of identical tasks.
 struct StepSpec
 {
--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -17,6 +17,8 @@
 // Bonus for a worker that takes twice the usual time and still meets the deadline; equals the eight accelerators of a
 // whole worker.
 constexpr double slowWorkerBonus = 8.0;
+// Assumed of a worker whose speed is not measured yet, between a normal and a slow one.
+constexpr double unmeasuredSlowness = 1.2;
 constexpr double avoidedWorkerPenalty = 1'000.0; // The worker of the last failure is the last resort.
 constexpr double lostWorkWeight = 0.1; // Per core-second of work lost by eviction.
 
@@ -42,8 +44,11 @@
 }
 
 /// @return the part of a worker's placement score that depends on its speed
-double slownessScore(double slowness, const PlacementRequest &request)
+double slownessScore(const Worker &worker, const PlacementRequest &request)
 {
+    // Urgent tasks have no time to find out that a worker is slow.
+    const bool doubtful = request.urgent && !worker.slownessMeasured;
+    const double slowness = doubtful ? std::max(worker.slowness, unmeasuredSlowness) : worker.slowness;
     const double excess = std::clamp(slowness - 1, -0.5, 1.5);
     return slowness <= request.deadlineSlowness ? -slowWorkerBonus * excess : request.slownessWeight * excess;
 }
@@ -168,7 +173,7 @@
     double score = detail::leftoverAcceleratorWeight * static_cast<double>(std::max<std::int64_t>(left.accelerators, 0))
         + detail::leftoverCpuWeight * static_cast<double>(std::max<std::int64_t>(left.cpuMillicores, 0))
             / static_cast<double>(std::max<std::int64_t>(worker.spec.capacity.cpuMillicores, 1));
-    score += detail::slownessScore(worker.slowness, request);
+    score += detail::slownessScore(worker, request);
     // Tasks without checkpoints share workers, so that other workers can be preempted without losing work.
     const bool besideUncheckpointed = worker.uncheckpointedRuns > 0;
     if (!request.urgent && besideUncheckpointed == request.step->savesProgress) {
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -124,6 +124,13 @@
             continue;
         }
         Unit &unit = occurrence.units[index];
+        const StepSpec &step = stepOf(job, unit);
+        const std::size_t tasks = step.gang ? step.taskCount : 1;
+        // A damaged record must not refer to another unit, to tasks that do not exist, or to one unit twice.
+        const bool matches = unit.step == recorded.step && unit.first == recorded.first && unit.run == 0;
+        if (!matches || recorded.workers.size() > tasks) {
+            continue;
+        }
         unit.run = recorded.run;
         unit.failures = recorded.failures;
         unit.failedRun = recorded.failedRun;
@@ -321,6 +328,7 @@
 
 void Scheduler::updateSlowness(Worker &worker, double ratio, double weight)
 {
+    worker.slownessMeasured = worker.slownessMeasured || weight >= detail::singleSiblingWeight;
     worker.slowness
         += weight * (std::clamp(ratio, detail::learnedSlownessMin, detail::learnedSlownessMax) - worker.slowness);
 }
@@ -561,10 +569,21 @@
     if (located.member == nullptr) {
         return;
     }
+    located.member->stopPending = false;
+    located.member->stopTriedAt = now;
     located.member->stopAnswered = true;
     located.member->orderAnsweredAt = now;
 }
 
+void Scheduler::stopUnanswered(const TaskId &task, std::uint32_t run, Instant now)
+{
+    const RunLocation located = findRun(task, run);
+    if (located.member != nullptr) {
+        located.member->stopPending = false;
+        located.member->stopTriedAt = now;
+    }
+}
+
 Decision Scheduler::decide(Instant now, Instant wall, std::size_t startsMax)
 {
     Decision decision;
@@ -630,6 +649,7 @@
         Worker *worker = m_pool.find(speed.worker);
         if (worker != nullptr && worker->spec.incarnation.value == speed.incarnation) {
             worker->slowness = std::clamp(speed.slowness, detail::learnedSlownessMin, detail::learnedSlownessMax);
+            worker->slownessMeasured = true;
         }
     }
     for (const QueueEstimate &estimate : learned.queues) {
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -37,6 +37,11 @@
     /// Workers examined in one pass; steps beyond are left for the next one. Bounds a pass to some tens of
     /// milliseconds.
     std::uint64_t examinedMax{100'000};
+    /// Until this time before its latest start, an urgent job evicts only work that costs little. Covers stopping the
+    /// victims and starting the tasks.
+    Duration evictionLead{800};
+    /// How long a job within a guarantee waits for free resources before it may evict work of any cost.
+    Duration guaranteePatience{200};
     /// Longest wait of an urgent job for a fast worker. After a longer one, it would be late on a fast worker too.
     Duration fastWorkerWait{1'000};
     /// Tasks in one record. A change rewrites the record of its block, so that smaller blocks save bytes; each record
@@ -157,6 +162,8 @@
     bool beginStart(const TaskId &task, std::uint32_t run);
     void startAnswered(const TaskId &task, std::uint32_t run, StartOutcome outcome, Instant now);
     void stopAnswered(const TaskId &task, std::uint32_t run, Instant now);
+    /// Reports that a stop order was not answered, or not sent. It is repeated while the run may exist.
+    void stopUnanswered(const TaskId &task, std::uint32_t run, Instant now);
 
     /// Handles the answer to an AdviceOrder.
     /// @param tickets by worker that may run the step; empty when the call failed
@@ -297,7 +304,10 @@
     bool placeOnFreeResources(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base);
     /// Evicts less urgent units and reserves their resources for the step.
     /// @return whether all waiting units of the step have a place
-    bool placeByEviction(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base);
+    bool placeByEviction(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
+                         const PlacementRequest &base);
+    /// @return the most core-seconds of lost work per core-second that the step needs, outside a guarantee
+    double lostWorkLimit(const ReadyStep &ready, Instant wall) const;
     /// Reserves a rack for a gang that does not fit now.
     void reserveRack(const ReadyStep &ready, Instant now, std::set<std::string> &reservedRacks);
     /// @return core-seconds of work left on each worker
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -13,13 +13,15 @@
 constexpr double objectivesUntilExpiry = 3; // A job that takes longer than three objectives has no value left.
 // A ticket must still be valid when the start order arrives, which is sent only after its record is stored.
 constexpr Duration ticketValidityMargin{200};
-constexpr double coresPerAccelerator = 8; // An accelerator-second counts as this many core-seconds.
 constexpr Duration workSinceCheckpointMax{1'000}; // Assumed maximum of work since the last checkpoint.
 // Outside a guarantee, the most core-seconds of lost work per core-second that the beneficiary needs. The limit is high
 // for urgent jobs: one that starts late loses four fifths of its value, and an urgent job is worth four times as much
 // as other work of its size.
 constexpr double urgentLostWorkRatio = 1.5;
 constexpr double lostWorkRatio = 0.1;
+// For urgent jobs that can still wait for free resources, or are late already, which leaves them a fifth of their
+// value.
+constexpr double patientLostWorkRatio = 0.3;
 constexpr double gangVictimWeight = 2; // An evicted gang needs a whole rack to restart.
 // Extra cost of a victim per earlier eviction, as a share of its total work.
 constexpr double earlierEvictionWeight = 0.5;
@@ -33,12 +35,6 @@
 constexpr double slowWorkerSlack = 0.8;
 constexpr double stretchReserve = 0.1; // Part of the stretch reserved for communication with the worker.
 
-double coreEquivalents(const Resources &need)
-{
-    return static_cast<double>(need.cpuMillicores) / 1'000
-        + coresPerAccelerator * static_cast<double>(need.accelerators);
-}
-
 } // namespace detail
 
 bool Scheduler::dependenciesDone(const Job &job, const Occurrence &occurrence, std::uint32_t step) const
@@ -191,20 +187,20 @@
         if (step.gang) {
             // The slowest member delays all others, which keep their resources meanwhile.
             base.slownessMax = detail::gangSlownessMax;
-            if (placeOnFreeResources(ready, decision, now, base) || placeByEviction(ready, decision, now, base)) {
+            if (placeOnFreeResources(ready, decision, now, base) || placeByEviction(ready, decision, now, wall, base)) {
                 return true;
             }
             base.slownessMax = std::numeric_limits<double>::max();
         }
         return placeOnFreeResources(ready, decision, now, base)
-            || (step.gang && placeByEviction(ready, decision, now, base));
+            || (step.gang && placeByEviction(ready, decision, now, wall, base));
     }
     base.tasksMax = std::numeric_limits<std::size_t>::max();
     base.urgent = true;
     base.slownessWeight = detail::urgentSlownessWeight;
     // On a worker slower than its stretch, an urgent job is late even when it starts at once.
     base.slownessMax = std::max(1.0, ready.job->policy.stretch - detail::stretchReserve);
-    if (placeOnFreeResources(ready, decision, now, base) || placeByEviction(ready, decision, now, base)) {
+    if (placeOnFreeResources(ready, decision, now, base) || placeByEviction(ready, decision, now, wall, base)) {
         return true;
     }
     const bool guaranteed = withinGuarantee(*ready.job, step, step.gang ? step.taskCount : ready.units.size());
@@ -214,7 +210,7 @@
         return false;
     }
     base.slownessMax = std::numeric_limits<double>::max();
-    return placeOnFreeResources(ready, decision, now, base) || placeByEviction(ready, decision, now, base);
+    return placeOnFreeResources(ready, decision, now, base) || placeByEviction(ready, decision, now, wall, base);
 }
 
 const Scheduler::Advice *Scheduler::adviceFor(const ReadyStep &ready, Decision &decision, Instant now)
@@ -270,7 +266,7 @@
             const double pace = run.member->millisecondsPerPercent;
             const double passed = static_cast<double>((now - run.unit->startedAt).count());
             const double remaining = pace > 0 ? pace * (100 - percent) : std::max(whole - passed, whole / 10);
-            left[id] += remaining / 1'000 * detail::coreEquivalents(allocationOf(*run.job, *run.unit));
+            left[id] += remaining / 1'000 * coreEquivalents(allocationOf(*run.job, *run.unit));
         }
     }
     return left;
@@ -368,7 +364,7 @@
     if (step.savesProgress) {
         lost = std::min(lost, detail::workSinceCheckpointMax);
     }
-    return detail::coreEquivalents(step.need) * static_cast<double>(unit.members.size())
+    return coreEquivalents(step.need) * static_cast<double>(unit.members.size())
         * std::chrono::duration<double>(lost).count();
 }
 
@@ -442,14 +438,24 @@
     const StepSpec &step = stepOf(*run.job, *run.unit);
     const double lost = lostWorkOf(*run.job, *run.unit, now);
     const Duration whole = m_estimates.expected(run.job->spec.queue, step);
-    const double work = detail::coreEquivalents(allocationOf(*run.job, *run.unit))
+    const double work = coreEquivalents(allocationOf(*run.job, *run.unit))
         * static_cast<double>(run.unit->members.size()) * std::chrono::duration<double>(whole).count();
     const double cost = lost * (step.gang ? detail::gangVictimWeight : 1)
         + detail::earlierEvictionWeight * run.unit->evictions * work;
     return {run, lost, cost};
 }
 
-bool Scheduler::placeByEviction(const ReadyStep &ready, Decision &decision, Instant now, const PlacementRequest &base)
+double Scheduler::lostWorkLimit(const ReadyStep &ready, Instant wall) const
+{
+    if (ready.priority != 0 || ready.lateness == Lateness::Expired) {
+        return detail::lostWorkRatio;
+    }
+    const bool lastChance = ready.lateness == Lateness::OnTime && wall + m_settings.evictionLead >= ready.latestStart;
+    return lastChance ? detail::urgentLostWorkRatio : detail::patientLostWorkRatio;
+}
+
+bool Scheduler::placeByEviction(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
+                                const PlacementRequest &base)
 {
     Job &job = *ready.job;
     const StepSpec &step = job.spec.steps[ready.step];
@@ -475,11 +481,11 @@
     for (const Unit *unit : chosen->evictedUnits) {
         lost += victims.units.at(unit).lost;
     }
-    const double needed = detail::coreEquivalents(step.need) * tasks
+    const double needed = coreEquivalents(step.need) * tasks
         * std::chrono::duration<double>(m_estimates.expected(job.spec.queue, step)).count();
-    const bool guaranteed = ready.priority == 0 && withinGuarantee(job, step, tasks);
-    const double share = ready.priority == 0 ? detail::urgentLostWorkRatio : detail::lostWorkRatio;
-    if (!guaranteed && lost > share * needed) {
+    const bool guaranteed = ready.priority == 0 && withinGuarantee(job, step, tasks)
+        && wall - ready.occurrence->dueAt >= m_settings.guaranteePatience;
+    if (!guaranteed && lost > lostWorkLimit(ready, wall) * needed) {
         return false;
     }
     for (const Unit *unit : chosen->evictedUnits) {
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -263,15 +263,18 @@
         return now > entry.second.second + m_settings.stopRetry * 4;
     });
     for (auto &[id, runs] : m_runsOn) {
+        const Worker *worker = m_pool.find(id);
+        const bool unreachable = worker == nullptr || worker->unreachable;
         for (const RunRef &ref : runs) {
             const RunLocation run = findRun(ref);
             Member &member = *run.member;
             const TaskId task = taskOf(*run.job, *run.occurrence, *run.unit, ref.member);
-            const bool stopDue = member.stopWanted && !member.stopAnswered && member.phase != RunPhase::Planned
-                && member.phase != RunPhase::Reserved
-                && (member.stopSentAt == Instant{} || now >= member.stopSentAt + m_settings.stopRetry);
-            if (stopDue) {
-                member.stopSentAt = now;
+            const bool stopDue = member.stopWanted && !member.stopAnswered && !member.stopPending
+                && member.phase != RunPhase::Planned && member.phase != RunPhase::Reserved
+                && (member.stopTriedAt == Instant{} || now >= member.stopTriedAt + m_settings.stopRetry);
+            // An unreachable worker is stopped by its lease; orders to it would only delay those to others.
+            if (stopDue && !unreachable) {
+                member.stopPending = true;
                 decision.stops.push_back({task, run.unit->run, id});
             }
             // Start orders are idempotent: a worker starts a run only once.
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -29,7 +29,8 @@
     Instant orderAnsweredAt; ///< When the latest order was answered; answers to later polls reflect its effect.
     bool stopWanted{};
     bool stopAnswered{};
-    Instant stopSentAt;
+    bool stopPending{}; ///< A stop order is queued or sent, and its outcome is not known yet.
+    Instant stopTriedAt; ///< When the outcome of the latest stop order became known.
     std::uint32_t startAttempts{};
     bool maybeSent{}; ///< An order without an answer may have reached the worker.
     std::uint32_t percent{}; ///< Progress of the task.
--- a/src/heatherquay/state/batch/worker_pool.cpp
+++ b/src/heatherquay/state/batch/worker_pool.cpp
@@ -27,6 +27,7 @@
         worker.quarantine = Duration::zero();
         worker.quarantinedUntil = {};
         worker.slowness = 1;
+        worker.slownessMeasured = false;
     }
     worker.spec = spec;
     worker.spec.incarnation = std::max(before, spec.incarnation);
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -37,6 +37,7 @@
     std::uint32_t consecutiveFailures{};
     Duration quarantine{};
     Instant quarantinedUntil;
+    bool slownessMeasured{}; ///< slowness rests on runs there that were compared with others of their step.
     double slowness{1}; ///< Learned run time relative to the expected one; 1 is normal speed.
 
     Resources free() const
--- a/tests/batch/election_test.cpp
+++ b/tests/batch/election_test.cpp
@@ -137,6 +137,42 @@
     BOOST_TEST(first.tokens.size() == 1U);
 }
 
+// Guards against authority that outlasts its bound: a campaign whose answer is lost counts from when it was sent, not
+// from when this process learns that it succeeded.
+BOOST_AUTO_TEST_CASE(the_authority_of_a_late_campaign_counts_from_its_sending)
+{
+    store.deferTransactions = 1'000'000;
+    Candidate first(context, store, "vm-1", "a");
+    first.start();
+    runFor(330ms);
+    BOOST_REQUIRE(!first.election.leading());
+    const auto appliedAt = std::chrono::steady_clock::now();
+    store.applyDeferred();
+    first.election.applyRow(store.row({boardTable, deciderPart, termKey}));
+    BOOST_REQUIRE(first.election.leading());
+    BOOST_TEST((first.election.confirmedAt() < appliedAt - 200ms));
+}
+
+// Guards against a term that nobody takes over until heartbeats time out, after a leader has stopped on request.
+BOOST_AUTO_TEST_CASE(a_leader_that_resigns_leaves_the_term_vacant)
+{
+    Candidate first(context, store, "vm-1", "a");
+    first.start();
+    runFor(60ms);
+    BOOST_REQUIRE(first.election.leading());
+    Candidate second(context, store, "vm-2", "b");
+    second.start();
+    runFor(40ms);
+    boost::asio::co_spawn(context, first.election.resign(), boost::asio::detached);
+    runFor(60ms);
+    BOOST_TEST(!first.election.leading());
+    BOOST_TEST(second.election.leading());
+    BOOST_TEST(second.tokens.back() == 2U);
+    runFor(200ms);
+    BOOST_TEST(!first.election.leading());
+    BOOST_TEST(first.deposals == 1);
+}
+
 // Guards against waiting for the heartbeat timeout when the store rejects only the leader, which then asks another
 // process to take over.
 BOOST_AUTO_TEST_CASE(an_invited_process_takes_over_before_the_heartbeat_times_out)
--- a/tests/batch/pool_simulation.cpp
+++ b/tests/batch/pool_simulation.cpp
@@ -140,7 +140,10 @@
     m_now += detail::stepDuration;
     advanceRuns();
     sendReports();
+    const auto begunAt = std::chrono::steady_clock::now();
     const Decision decision = m_scheduler->decide(m_now, m_now);
+    decisionTimes.push_back(
+        std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begunAt).count());
     for (const OccurrenceRecord &record : decision.records) {
         m_records[{record.job, record.occurrence, record.block}] = record;
     }
@@ -382,6 +385,7 @@
 {
     SimulatedWorker &worker = m_workers.at(order.worker);
     if (worker.unreachable) {
+        m_scheduler->stopUnanswered(order.task, order.run, m_now);
         return;
     }
     for (SimulatedRun &run : m_runs) {
--- a/tests/batch/pool_simulation.hpp
+++ b/tests/batch/pool_simulation.hpp
@@ -98,6 +98,7 @@
     /// Returns whether the answer to a start order is lost.
     std::function<bool(const state::batch::StartOrder &)> answerLost;
     std::set<state::WorkerId> advised; ///< Workers that the placement advice approves.
+    std::vector<double> decisionTimes; ///< Of each decision in milliseconds, on the machine's clock.
     std::vector<std::string> violations; ///< Descriptions of violated rules.
 
 private:
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -683,6 +683,142 @@
     BOOST_TEST(scheduler.decide(now, now).starts.size() == 2U);
 }
 
+// Guards against urgent work on a slow worker that nobody has measured, while a worker known to be fast is free.
+BOOST_AUTO_TEST_CASE(urgent_work_prefers_workers_of_measured_speed)
+{
+    PoolSimulation pool;
+    pool.setQueue("urgent", urgentPolicy());
+    const auto workers = pool.addWorkers(4, 8, wholeWorker);
+    JobSpec measured = makeJob("measured", 2, largeTask, 3s);
+    pool.submit(measured);
+    pool.advance(6s);
+    std::set<state::WorkerId> used;
+    for (const auto &id : workers) {
+        if (pool.scheduler().workers().find(id)->slownessMeasured) {
+            used.insert(id);
+        }
+    }
+    BOOST_REQUIRE(used.size() == 2U);
+    JobSpec urgent = makeJob("urgent", 2, largeTask, 2s);
+    urgent.queue = "urgent";
+    pool.submit(urgent);
+    pool.advance(500ms);
+    for (const auto &id : workers) {
+        BOOST_TEST((pool.scheduler().workers().find(id)->runs > 0) == used.contains(id), id.value);
+    }
+    checkNoViolations(pool);
+}
+
+// Guards against evicting dear work for an urgent job that can still wait, on days of high load. The load is a gang
+// without checkpoints that fills the pool and is nearly done.
+BOOST_AUTO_TEST_CASE(an_urgent_job_with_time_left_waits_for_dear_work_to_end)
+{
+    PoolSimulation pool;
+    QueuePolicy patient = urgentPolicy();
+    patient.latencyTarget = 4s;
+    pool.setQueue("urgent", patient);
+    pool.addWorkers(4, 8, wholeWorker);
+    JobSpec gang = makeJob("gang", 4, largeTask, 8s);
+    gang.steps.front().gang = true;
+    pool.submit(gang);
+    pool.advance(6s);
+    JobSpec urgent = makeJob("urgent", 1, largeTask, 2s);
+    urgent.queue = "urgent";
+    pool.submit(urgent);
+    pool.advance(6s);
+    BOOST_TEST(pool.startsOf({idOf("gang"), 0, 0, 0}) == 1U);
+    BOOST_TEST((pool.stateOf(idOf("gang")) == JobState::Completed));
+    BOOST_TEST((pool.stateOf(idOf("urgent")) == JobState::Completed));
+    checkNoViolations(pool);
+}
+
+// Guards against stop orders that pile up behind those to workers that cannot answer.
+BOOST_AUTO_TEST_CASE(a_stop_is_repeated_only_after_its_outcome_and_not_to_an_unreachable_worker)
+{
+    state::Instant now{state::Duration(1'000'000)};
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 2, 3.0, state::Duration(1'000)}}});
+    const WorkerSpec worker = makeWorker("w0");
+    scheduler.registerWorker(worker, now, now + 60s);
+    scheduler.workerAnswered(worker.id, {worker.incarnation, now, {}, {}}, now);
+    scheduler.submit(makeJob("a", 1, smallTask, 1s), now);
+    const auto starts = scheduler.decide(now, now).starts;
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_REQUIRE(scheduler.beginStart(starts[0].task, 1));
+    scheduler.startAnswered(starts[0].task, 1, StartOutcome::Started, now);
+    scheduler.leaseExtended(worker.id, now + 60s);
+    scheduler.cancel(idOf("a"));
+    const auto stopsIn = [&](state::Duration time) {
+        std::size_t stops = 0;
+        for (const state::Instant until = now + time; now < until; now += 50ms) {
+            stops += scheduler.decide(now, now).stops.size();
+        }
+        return stops;
+    };
+    BOOST_TEST(stopsIn(2s) == 1U);
+    scheduler.stopUnanswered(starts[0].task, 1, now);
+    BOOST_TEST(stopsIn(2s) == 1U);
+    scheduler.stopUnanswered(starts[0].task, 1, now);
+    scheduler.workerUnreachable(worker.id);
+    BOOST_TEST(stopsIn(2s) == 0U);
+    scheduler.workerAnswered(worker.id, {worker.incarnation, now, {{starts[0].task, 1, "", 5}}, {}}, now);
+    BOOST_TEST(stopsIn(2s) == 1U);
+}
+
+// Guards against runs that count as alive until their lease ends although their worker was replaced at its address.
+BOOST_AUTO_TEST_CASE(the_runs_of_a_replaced_worker_start_elsewhere_at_once)
+{
+    state::Instant now{state::Duration(1'000'000)};
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 2, 3.0, state::Duration(1'000)}}});
+    for (const char *id : {"w0", "w1"}) {
+        scheduler.registerWorker(makeWorker(id), now, now + 60s);
+        scheduler.workerAnswered({id}, {makeWorker(id).incarnation, now, {}, {}}, now);
+    }
+    scheduler.submit(makeJob("a", 1, smallTask, 1s), now);
+    const auto starts = scheduler.decide(now, now).starts;
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_REQUIRE(scheduler.beginStart(starts[0].task, 1));
+    scheduler.startAnswered(starts[0].task, 1, StartOutcome::Started, now);
+    scheduler.workerReplaced(starts[0].worker);
+    const auto again = scheduler.decide(now, now).starts;
+    BOOST_REQUIRE(again.size() == 1U);
+    BOOST_TEST(again[0].run == 2U);
+    BOOST_TEST((again[0].worker != starts[0].worker));
+}
+
+// Guards against a crash, and against runs of tasks that do not exist, after a damaged record.
+BOOST_AUTO_TEST_CASE(damaged_records_are_skipped)
+{
+    state::Instant now{state::Duration(1'000'000)};
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 2, 3.0, state::Duration(1'000)}}});
+    JobSpec job = makeJob("a", 2, smallTask, 1s);
+    job.steps.push_back(job.steps.front());
+    job.steps.back().gang = true;
+    scheduler.submit(job, now);
+    OccurrenceRecord record;
+    record.job = idOf("a");
+    record.units.push_back({0, 2, 1, 0, 0, false, {}, {{"w0"}}}); // Its index is that of the next step's gang.
+    record.units.push_back({7, 0, 1, 0, 0, false, {}, {{"w0"}}});
+    record.units.push_back({0, 4'000'000'000, 1, 0, 0, false, {}, {{"w0"}}});
+    record.units.push_back({0, 0, 1, 0, 0, false, {}, {{"w0"}, {"w1"}}});
+    record.units.push_back({1, 0, 1, 0, 0, false, {}, {{"w0"}, {"w1"}, {"w2"}}});
+    scheduler.restore(record, now, now);
+    BOOST_TEST(scheduler.workers().all().empty());
+    record.units = {{0, 1, 1, 0, 0, false, {}, {{"w0"}}}, {0, 1, 2, 0, 0, false, {}, {{"w1"}}}};
+    scheduler.restore(record, now, now);
+    BOOST_TEST(scheduler.workers().all().size() == 1U);
+    scheduler.registerWorker(makeWorker("w0"), now, now);
+    scheduler.workerAnswered({"w0"}, {makeWorker("w0").incarnation, now + 1ms, {}, {}}, now + 1ms);
+    const auto starts = scheduler.decide(now + 1ms, now + 1ms).starts;
+    BOOST_TEST(starts.size() == 4U);
+    for (const StartOrder &start : starts) {
+        const bool restored = start.task.step == 0 && start.task.index == 1;
+        BOOST_TEST(start.run == (restored ? 2U : 1U), toString(start.task));
+    }
+}
+
 // Guards against an extra attempt when the predecessor recorded the last failure but not the end of the job.
 BOOST_AUTO_TEST_CASE(a_successor_fails_a_job_without_attempts_left)
 {
--- a/tests/emulator/memory_store.hpp
+++ b/tests/emulator/memory_store.hpp
@@ -32,6 +32,11 @@
     protocol::batch::RowCommit apply(const protocol::batch::RowTransaction &transaction);
     void put(const RowKey &key, const std::string &value);
     void remove(const RowKey &key);
+    /// @return the row, which must exist
+    protocol::batch::StoredRow row(const RowKey &key) const
+    {
+        return m_rows.at(key);
+    }
     /// @return the value; empty when the row does not exist
     std::string value(const RowKey &key) const;
 
