Notice an ended leader in a third of a second, and evict nothing before the workers have answered

For 2 s after its start a decider evicts only within a guarantee while a tenth of the workers have not answered. Urgent steps get half of a decision's search, and pauses double.

--- a/src/heatherquay/coordination/batch/election.hpp
+++ b/src/heatherquay/coordination/batch/election.hpp
@@ -17,12 +17,25 @@
     std::chrono::milliseconds heartbeatInterval{400};
     /// Time without a heartbeat before a candidate campaigns. A slow store delays a heartbeat by a second.
     std::chrono::milliseconds heartbeatTimeout{1'500};
+    /// Replaces heartbeatTimeout when the leader's process does not answer this one; a live leader sends two heartbeats
+    /// in this time.
+    std::chrono::milliseconds silentLeaderTimeout{900};
+    /// Replaces heartbeatTimeout when the leader's process has ended or says that it no longer leads.
+    std::chrono::milliseconds endedLeaderTimeout{300};
     std::chrono::milliseconds checkInterval{50}; ///< Interval at which run() checks whether to act.
     std::chrono::milliseconds callTimeout{1'000}; ///< Of one call to the store.
     /// Extra delay at priority 0, so that the VM with the highest priority campaigns first.
     std::chrono::milliseconds rankDelayMax{400};
 };
 
+/// What another process found out about the leader by asking its process.
+enum class LeaderHealth
+{
+    Unknown, ///< It was not asked, or leads.
+    Silent, ///< It does not answer.
+    Ended ///< Nothing listens at its address, or it does not lead this term.
+};
+
 /// Leader election through the store: the leader is the one process that runs the decider. Conditional writes ensure
 /// that no two processes hold the same fencing token. A missing heartbeat only triggers a campaign; correctness does
 /// not depend on it.
@@ -70,6 +83,12 @@
         m_takeoverRequested = current && m_ports.board().fresh();
         return m_takeoverRequested;
     }
+    /// Reports the health of the leader of term @p token. A new term resets it.
+    void noteLeaderHealth(protocol::batch::FencingToken token, LeaderHealth health)
+    {
+        m_healthToken = token;
+        m_leaderHealth = health;
+    }
     /// Records that a write under the term's condition succeeded.
     /// @param sentAt when the write was sent
     void confirm(Clock::time_point sentAt)
@@ -98,6 +117,8 @@
 
 private:
     bool canCampaign() const;
+    /// @return the time without a heartbeat after which the leader counts as lost
+    std::chrono::milliseconds leaderTimeout() const;
     boost::asio::awaitable<void> campaign();
     boost::asio::awaitable<void> sendHeartbeat();
     /// @param campaignSentAt when the campaign was sent: the store confirmed the term no earlier than that
@@ -118,6 +139,8 @@
     bool m_leading{};
     bool m_resigned{};
     bool m_takeoverRequested{};
+    protocol::batch::FencingToken m_healthToken; ///< Term that m_leaderHealth is about.
+    LeaderHealth m_leaderHealth{LeaderHealth::Unknown};
     std::uint64_t m_heartbeats{};
 };
 
@@ -194,7 +217,22 @@
     const auto leaderMissingSince = std::max(m_leaderSeenAt, board.healthySince());
     const auto rankDelay
         = std::chrono::duration_cast<std::chrono::milliseconds>(m_times.rankDelayMax * (1 - m_priority));
-    return Clock::now() - leaderMissingSince >= m_times.heartbeatTimeout + rankDelay;
+    return Clock::now() - leaderMissingSince >= leaderTimeout() + rankDelay;
+}
+
+template<protocol::batch::RowStore Store>
+std::chrono::milliseconds Election<Store>::leaderTimeout() const
+{
+    const LeaderHealth health = m_healthToken == m_term.token ? m_leaderHealth : LeaderHealth::Unknown;
+    switch (health) {
+    case LeaderHealth::Silent:
+        return m_times.silentLeaderTimeout;
+    case LeaderHealth::Ended:
+        return m_times.endedLeaderTimeout;
+    case LeaderHealth::Unknown:
+        break;
+    }
+    return m_times.heartbeatTimeout;
 }
 
 template<protocol::batch::RowStore Store>
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -32,11 +32,20 @@
     Duration hungTimeMin{2'000}; ///< Longer than a worker may delay its answer to a poll.
     Duration hungTimeMax{5'000}; ///< Even slow runs make progress within this time.
     std::uint32_t reservedRacksMax{2}; ///< Racks reserved for gangs at the same time; a third of a small pool.
-    /// Pause after a gang or an urgent step found no place. A search over all workers takes milliseconds.
+    /// Pause after a gang or an urgent step found no place; doubles with each further failure. A search over all
+    /// workers takes milliseconds.
     Duration placementRetry{50};
+    Duration urgentRetryMax{100};
+    Duration ordinaryRetryMax{400};
     /// Workers examined in one pass; steps beyond are left for the next one. Bounds a pass to some tens of
     /// milliseconds.
     std::uint64_t examinedMax{100'000};
+    /// Of these, those examined for urgent steps, so that many waiting ones do not keep other work from free resources.
+    std::uint64_t examinedForUrgentMax{50'000};
+    /// After its start, the scheduler evicts nothing for this time while a tenth of the workers have not answered it:
+    /// they may have free resources. A guarantee is exempt.
+    Duration firstAnswersTime{2'000};
+    double firstAnswersShare{0.9};
     /// Until this time before its latest start, an urgent job evicts only work that costs little. Covers stopping the
     /// victims and starting the tasks.
     Duration evictionLead{800};
@@ -353,6 +362,8 @@
     std::map<std::pair<TaskId, std::uint32_t>, std::pair<WorkerId, Instant>> m_orphans;
     std::vector<StopOrder> m_orphanStops;
     Instant m_decidedAt; ///< Time of the latest pass.
+    Instant m_firstDecidedAt; ///< Time of the first pass; zero before.
+    bool m_answersMissing{}; ///< Many workers have not answered since the start, which was a short time ago.
     std::map<std::uint32_t, Victims> m_victims; ///< By priority; valid for one pass.
     std::uint64_t m_examined{}; ///< Workers examined for placement in this pass.
 };
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -129,11 +129,16 @@
     std::set<std::string> reservedRacks;
     m_victims.clear();
     m_examined = 0;
+    m_firstDecidedAt = m_firstDecidedAt == Instant{} ? now : m_firstDecidedAt;
+    m_answersMissing
+        = now - m_firstDecidedAt < m_settings.firstAnswersTime && m_pool.fencedShare() < m_settings.firstAnswersShare;
     for (const ReadyStep &ready : readySteps(wall)) {
         const StepSpec &step = ready.job->spec.steps[ready.step];
         Unit &first = *ready.units.front();
         // What is left for the next pass comes first there, because the steps that failed in this one pause.
-        if (now < first.placeAgainAt || m_examined >= m_settings.examinedMax) {
+        const bool urgent = ready.priority == 0;
+        const std::uint64_t examinedMax = urgent ? m_settings.examinedForUrgentMax : m_settings.examinedMax;
+        if (now < first.placeAgainAt || m_examined >= examinedMax) {
             if (!first.reservedRack.empty() && reservedRacks.size() < m_settings.reservedRacksMax) {
                 reservedRacks.insert(first.reservedRack);
             }
@@ -143,7 +148,6 @@
         const Shape shape{ready.job->policy.service,     allocation.cpuMillicores, allocation.memoryMegabytes,
                           allocation.accelerators,       step.requiredLabel,       step.dataRack,
                           step.gang ? step.taskCount : 1};
-        const bool urgent = ready.priority == 0;
         if (!urgent && (unplaceable.contains(shape) || decision.starts.size() >= startsMax)) {
             continue;
         }
@@ -151,7 +155,9 @@
             continue;
         }
         if (step.gang || urgent) {
-            first.placeAgainAt = now + m_settings.placementRetry;
+            const Duration retryMax = urgent ? m_settings.urgentRetryMax : m_settings.ordinaryRetryMax;
+            first.placementPause = std::clamp(first.placementPause * 2, m_settings.placementRetry, retryMax);
+            first.placeAgainAt = now + first.placementPause;
         }
         if (step.gang && !urgent) {
             reserveRack(ready, now, reservedRacks);
@@ -469,6 +475,11 @@
         return true;
     }
     const std::uint32_t tasks = step.gang ? step.taskCount : static_cast<std::uint32_t>(waiting.size());
+    const bool guaranteed = ready.priority == 0 && withinGuarantee(job, step, tasks)
+        && wall - ready.occurrence->dueAt >= m_settings.guaranteePatience;
+    if (m_answersMissing && !guaranteed) {
+        return false;
+    }
     const Victims &victims = victimsFor(ready.priority, now);
     PlacementRequest request = base;
     request.tasks = tasks;
@@ -483,8 +494,6 @@
     }
     const double needed = coreEquivalents(step.need) * tasks
         * std::chrono::duration<double>(m_estimates.expected(job.spec.queue, step)).count();
-    const bool guaranteed = ready.priority == 0 && withinGuarantee(job, step, tasks)
-        && wall - ready.occurrence->dueAt >= m_settings.guaranteePatience;
     if (!guaranteed && lost > lostWorkLimit(ready, wall) * needed) {
         return false;
     }
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -214,6 +214,7 @@
     unit.startedAt = now;
     unit.stopping = false;
     unit.gangComplete = false;
+    unit.placementPause = {};
     unit.reservedRack.clear();
 }
 
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -74,6 +74,7 @@
     bool gangComplete{}; ///< All members of the present run were there at the same time.
     std::string reservedRack; ///< Rack reserved for this gang until it fits there.
     Instant waitingSince;
+    Duration placementPause{}; ///< Latest pause after the unit found no place; zero once it is placed.
     Instant placeAgainAt; ///< The unit found no place; it is not tried again before this time.
     Instant startedAt;
 
--- a/src/heatherquay/state/batch/worker_pool.cpp
+++ b/src/heatherquay/state/batch/worker_pool.cpp
@@ -102,6 +102,17 @@
     worker.quarantinedUntil = std::max(worker.quarantinedUntil, now + pause);
 }
 
+double WorkerPool::fencedShare() const
+{
+    std::size_t registered = 0;
+    std::size_t fenced = 0;
+    for (const auto &[id, worker] : m_workers) {
+        registered += worker.registered ? 1 : 0;
+        fenced += worker.registered && worker.fenced ? 1 : 0;
+    }
+    return registered == 0 ? 1 : static_cast<double>(fenced) / static_cast<double>(registered);
+}
+
 bool WorkerPool::acceptsRuns(const Worker &worker, Instant now) const
 {
     return worker.registered && worker.fenced && !worker.spec.draining && !worker.unreachable
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -77,6 +77,8 @@
     void suspendPlacement(Worker &worker, Instant now, Duration pause);
 
     /// @return whether new runs may be placed on the worker now
+    /// @return the share of the registered workers that have answered this decider; 1 without workers
+    double fencedShare() const;
     bool acceptsRuns(const Worker &worker, Instant now) const;
     const std::map<WorkerId, Worker> &all() const
     {
--- a/src/heatherquay/transport/http_client.cpp
+++ b/src/heatherquay/transport/http_client.cpp
@@ -106,6 +106,7 @@
     HttpClientLimits limits;
     std::string host;
     bool reusable{};
+    bool refused{};
 };
 
 HttpConnection::HttpConnection(asio::any_io_executor executor, HttpClientLimits limits)
@@ -120,6 +121,7 @@
     m_data->stream.expires_after(m_data->limits.connectTimeout);
     const auto [error] = co_await m_data->stream.async_connect(peer, detail::clientAwaitTuple);
     if (error) {
+        m_data->refused = error == asio::error::connection_refused;
         throw Error(ErrorKind::Unavailable,
                     "cannot connect to " + peer.address().to_string() + ":" + std::to_string(peer.port()) + ": "
                         + error.message(),
@@ -193,6 +195,11 @@
     return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool HttpConnection::wasRefused() const
+{
+    return m_data->refused;
+}
+
 bool HttpConnection::hasUnacknowledgedBytes() const
 {
     // SIOCOUTQ is unsuitable: it also counts bytes that wait for the receive window of a slow but live peer.
@@ -288,6 +295,7 @@
         }
     } catch (const Error &error) {
         result.failure = error.what();
+        result.refused = connection && connection->wasRefused();
     }
     if (result.timedOut) {
         // The idle connections may be affected by the same failure, and each of them would show it only by a timeout.
--- a/src/heatherquay/transport/http_client.hpp
+++ b/src/heatherquay/transport/http_client.hpp
@@ -27,6 +27,7 @@
     HttpResponse response; ///< Valid only if progress is Answered.
     std::string failure; ///< Description of the failure; empty if progress is Answered.
     bool timedOut{};
+    bool refused{}; ///< Nothing listens at the peer's address.
     bool localRefusal{}; ///< Not sent for a local reason, which says nothing about the health of the peer.
 };
 
@@ -57,6 +58,8 @@
     /// @return whether another exchange can use the connection: the last one was complete without surplus bytes, and
     /// the peer has kept the connection open
     bool reusable() const;
+    /// @return whether connect() failed because nothing listens at the peer's address
+    bool wasRefused() const;
     /// @return whether the kernel has sent bytes that the peer has not acknowledged yet
     bool hasUnacknowledgedBytes() const;
     /// Closes the connection immediately; an exchange in progress fails.
--- a/tests/batch/election_test.cpp
+++ b/tests/batch/election_test.cpp
@@ -45,6 +45,8 @@
     {
         return {.heartbeatInterval = 20ms,
                 .heartbeatTimeout = 100ms,
+                .silentLeaderTimeout = 60ms,
+                .endedLeaderTimeout = 20ms,
                 .checkInterval = 5ms,
                 .callTimeout = 50ms,
                 .rankDelayMax = 10ms};
@@ -153,6 +155,33 @@
     BOOST_TEST((first.election.confirmedAt() < appliedAt - 200ms));
 }
 
+// Guards against waiting for heartbeats of a leader whose process has ended, and against replacing one that only does
+// not answer its peers.
+BOOST_AUTO_TEST_CASE(a_leader_known_to_have_ended_is_replaced_early)
+{
+    TermRecord other;
+    other.token.value = 4;
+    other.owner = "vm-9";
+    store.put({boardTable, deciderPart, termKey}, encodeTerm(other));
+    Candidate first(context, store, "vm-1", "a");
+    first.start();
+    runFor(20ms);
+    first.election.noteLeaderHealth({3}, LeaderHealth::Ended); // Of an earlier term.
+    runFor(30ms);
+    BOOST_TEST(!first.election.leading());
+    store.put({boardTable, deciderPart, heartbeatKey}, "1");
+    runFor(10ms);
+    first.election.noteLeaderHealth({4}, LeaderHealth::Silent);
+    for (int i = 0; i < 10; ++i) {
+        store.put({boardTable, deciderPart, heartbeatKey}, std::to_string(i));
+        runFor(20ms);
+    }
+    BOOST_TEST(!first.election.leading());
+    first.election.noteLeaderHealth({4}, LeaderHealth::Ended);
+    runFor(60ms);
+    BOOST_TEST(first.election.leading());
+}
+
 // Guards against a term that nobody takes over until heartbeats time out, after a leader has stopped on request.
 BOOST_AUTO_TEST_CASE(a_leader_that_resigns_leaves_the_term_vacant)
 {
--- a/tests/platform/peers_test.cpp
+++ b/tests/platform/peers_test.cpp
@@ -43,4 +43,20 @@
     BOOST_TEST(peers.highestRank() == 0.1);
 }
 
+// Guards against probes by every process, which a leader of a large cluster would have to answer.
+BOOST_AUTO_TEST_CASE(only_the_strongest_members_watch_the_leader)
+{
+    boost::asio::io_context context;
+    Peers peers(context.get_executor(), "10.0.0.1:80");
+    for (int i = 1; i < 9; ++i) {
+        peers.setMember("vm-" + std::to_string(i), "10.0.1." + std::to_string(i) + ":80");
+        peers.setRank("vm-" + std::to_string(i), i == 8 ? 0.5 : 0.1);
+    }
+    BOOST_TEST(peers.isAmongStrongest("vm-8", 1));
+    BOOST_TEST(!peers.isAmongStrongest("vm-1", 1));
+    BOOST_TEST(peers.isAmongStrongest("vm-1", 2));
+    BOOST_TEST(!peers.isAmongStrongest("vm-2", 2));
+    BOOST_TEST(!peers.isAmongStrongest("vm-9", 20));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
