Count the result of an earlier run that is reported late

Ruled out: placement, the limit on starts, and authority, since other work was placed in the same seconds.

Change: an end "done" of an earlier run finishes the task, stops the later run, and lets dependent steps start.

--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -316,6 +316,11 @@
             run.occurrence->changed = true;
         }
     }
+    for (const EndReport &entry : report.ended) {
+        if (entry.kind == EndKind::Done) {
+            handleEarlierDone(entry);
+        }
+    }
     for (const auto &[key, entry] : running) {
         auto &[where, stoppedAt] = m_orphans[key];
         where = id;
@@ -419,6 +424,18 @@
     }
 }
 
+void Scheduler::handleEarlierDone(const EndReport &end)
+{
+    const RunLocation located = findUnit(end.task);
+    if (located.unit == nullptr || located.unit->done || end.run >= located.unit->run || isFinal(located.job->state)
+        || stepOf(*located.job, *located.unit).perpetual) {
+        return;
+    }
+    located.occurrence->changed = true;
+    finishUnit(*located.job, *located.occurrence, *located.unit);
+    stopUnit(*located.unit);
+}
+
 void Scheduler::finishUnit(Job &job, Occurrence &occurrence, Unit &unit)
 {
     unit.done = true;
@@ -717,7 +734,7 @@
     return gang ? position : position + index;
 }
 
-Scheduler::RunLocation Scheduler::findRun(const TaskId &task, std::uint32_t run)
+Scheduler::RunLocation Scheduler::findUnit(const TaskId &task)
 {
     const auto job = m_jobs.find(task.job);
     if (job == m_jobs.end() || task.step >= job->second.spec.steps.size()
@@ -732,12 +749,21 @@
     if (position >= occurrence->second.units.size()) {
         return {};
     }
-    Unit &unit = occurrence->second.units[position];
-    const std::uint32_t member = task.index - unit.first;
-    if (unit.run != run || member >= unit.members.size()) {
+    return {&job->second, &occurrence->second, &occurrence->second.units[position], nullptr};
+}
+
+Scheduler::RunLocation Scheduler::findRun(const TaskId &task, std::uint32_t run)
+{
+    RunLocation located = findUnit(task);
+    if (located.unit == nullptr) {
+        return {};
+    }
+    const std::uint32_t member = task.index - located.unit->first;
+    if (located.unit->run != run || member >= located.unit->members.size()) {
         return {};
     }
-    return {&job->second, &occurrence->second, &unit, &unit.members[member]};
+    located.member = &located.unit->members[member];
+    return located;
 }
 
 Scheduler::RunLocation Scheduler::findRun(const RunRef &ref)
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -267,6 +267,8 @@
         std::map<const Unit *, Victim> units;
     };
 
+    /// @return the unit of the task, without a member; null pointers when there is none
+    RunLocation findUnit(const TaskId &task);
     /// @return the run, or null pointers when it is not the latest run of the task
     RunLocation findRun(const TaskId &task, std::uint32_t run);
     static RunLocation findRun(const RunRef &ref);
@@ -293,6 +295,8 @@
     /// @return whether the job has ended, has no runs left and has no changes left to record
     static bool isRemovable(const Job &job);
     void closeRun(Job &job, Occurrence &occurrence, Unit &unit, Instant now);
+    /// Accepts the result of an earlier run, whose worker was silent until a later run was started: the work is done.
+    void handleEarlierDone(const EndReport &end);
     void finishUnit(Job &job, Occurrence &occurrence, Unit &unit);
     void endJob(Job &job, JobState state);
     /// Fails the job when the unit has no attempts left.
