Split the decider's calls from its decisions, and name the send queue for what it is

Change: orders and polls of the decider are in decider_calls_impl.hpp; OrderQueue, OrderLimits and OrderClass are SendQueue, SendLimits and SendClass in send_queue.hpp; constants stand with the calls that use them. No behaviour changes. Result: all targets and the header check build; test_batch and test_platform pass.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -3,9 +3,9 @@
 #include "heatherquay/coordination/batch/decider_metrics.hpp"
 #include "heatherquay/coordination/batch/job_board.hpp"
 #include "heatherquay/coordination/batch/layout.hpp"
-#include "heatherquay/coordination/batch/order_queue.hpp"
 #include "heatherquay/coordination/batch/progress_reader.hpp"
 #include "heatherquay/coordination/batch/record_writer.hpp"
+#include "heatherquay/coordination/batch/send_queue.hpp"
 #include "heatherquay/coordination/batch/table_mirror.hpp"
 #include "heatherquay/coordination/batch/worker_session.hpp"
 #include "heatherquay/state/batch/scheduler.hpp"
@@ -20,13 +20,22 @@
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace heatherquay::coordination::batch
 {
 
+namespace detail
+{
+
+constexpr auto waitTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+} // namespace detail
+
 /// Intervals and timeouts of a decider.
 struct DeciderTimes
 {
@@ -96,7 +105,7 @@
 
     Decider(boost::asio::any_io_executor executor, Store &store, protocol::batch::FencingToken token,
             DeciderPorts<Worker> ports, DeciderTimes times = {}, state::batch::SchedulerSettings settings = {},
-            OrderLimits orderLimits = {});
+            SendLimits orderLimits = {});
 
     /// Starts the loops and returns at once.
     void start();
@@ -118,7 +127,7 @@
 
 private:
     using std::enable_shared_from_this<Decider>::shared_from_this;
-    using Orders = OrderQueue<std::variant<state::batch::StartOrder, state::batch::StopOrder>>;
+    using Orders = SendQueue<std::variant<state::batch::StartOrder, state::batch::StopOrder>>;
 
     boost::asio::awaitable<void> run();
     /// Restores the scheduler from the stored records.
@@ -181,7 +190,7 @@
     boost::asio::steady_timer m_orderTimer;
     /// Polls that are answered at once. After an election every worker needs one; sent all together, they would keep
     /// the processor from the heartbeat and end the term.
-    OrderQueue<std::shared_ptr<Session>> m_polls;
+    SendQueue<std::shared_ptr<Session>> m_polls;
     boost::asio::steady_timer m_pollTimer;
     std::map<state::WorkerId, std::shared_ptr<Session>> m_sessions;
     std::map<state::JobId, state::batch::JobSpec> m_jobsBeforeRecovery; ///< Admitted after recovery.
@@ -200,3 +209,5 @@
 } // namespace heatherquay::coordination::batch
 
 #include "heatherquay/coordination/batch/decider_impl.hpp"
+
+#include "heatherquay/coordination/batch/decider_calls_impl.hpp"
--- /dev/null
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -0,0 +1,328 @@
+#pragma once
+
+// The decider's calls to workers: orders and polls.
+
+#include "heatherquay/coordination/batch/decider.hpp"
+
+#include "heatherquay/protocol/wait.hpp"
+#include "heatherquay/transport/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherquay::coordination::batch
+{
+
+namespace detail
+{
+
+constexpr std::chrono::milliseconds idlePollInterval{1'000}; // Upper bound for a session without runs.
+constexpr double orderOverheadBytes = 450; // Request without payload, and the headers of its packets.
+constexpr double pollBytes = 400; // Request and the headers of its packets.
+
+} // namespace detail
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::queue(state::batch::StartOrder start)
+{
+    const SendClass sendClass = start.urgent ? SendClass::Urgent : SendClass::Ordinary;
+    const double bytes = detail::orderOverheadBytes + static_cast<double>(start.payload.size());
+    const state::WorkerId worker = start.worker;
+    m_orders.push(sendClass, worker, bytes, std::move(start));
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::queue(state::batch::StopOrder stop)
+{
+    const state::WorkerId worker = stop.worker;
+    m_orders.push(SendClass::Urgent, worker, detail::orderOverheadBytes, std::move(stop));
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::sendOrders()
+{
+    while (!m_stopped) {
+        auto sent = m_orders.pop(now());
+        if (!sent) {
+            break;
+        }
+        spawn(send(std::move(*sent)));
+    }
+    const auto wait = m_orders.nextSendIn(now());
+    if (m_stopped || !wait) {
+        return;
+    }
+    m_orderTimer.expires_after(std::max(*wait, state::Duration(1)));
+    m_orderTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->sendOrders();
+        }
+    });
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::send(typename Orders::Sent sent)
+{
+    const auto self = shared_from_this();
+    if (auto *start = std::get_if<state::batch::StartOrder>(&sent.order)) {
+        co_await order(std::move(*start));
+    } else {
+        co_await order(std::move(std::get<state::batch::StopOrder>(sent.order)));
+    }
+    m_orders.answered(sent.ticket);
+    sendOrders();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::order(state::batch::StartOrder start)
+{
+    const auto self = shared_from_this();
+    const auto found = m_sessions.find(start.worker);
+    if (m_stopped || !m_scheduler.beginStart(start.task, start.run)) {
+        co_return;
+    }
+    protocol::batch::OrderAnswer answer;
+    if (found == m_sessions.end() || !found->second->clock || !hasAuthority()) {
+        answer.status = protocol::batch::CallStatus::NotSent;
+        answer.failure = "cannot grant a lease: no session, unknown worker clock, or term not confirmed";
+    } else {
+        const auto session = found->second;
+        m_scheduler.leaseExtended(start.worker, latestLeaseExpiry(m_times.lease));
+        answer = co_await session->calls->start(start, m_token, session->leaseEnd(m_times.lease), m_times.orderTimeout);
+        if (answer.clock) {
+            session->updateClock(*answer.clock);
+        }
+        session->wake.cancel();
+    }
+    if (m_stopped) {
+        co_return;
+    }
+    using protocol::batch::CallStatus;
+    using state::batch::StartOutcome;
+    StartOutcome outcome = StartOutcome::Refused;
+    if (answer.status == CallStatus::Answered) {
+        outcome = StartOutcome::Started;
+    } else if (answer.status == CallStatus::Unknown) {
+        outcome = StartOutcome::Unknown;
+    } else if (answer.status == CallStatus::NotSent) {
+        outcome = StartOutcome::NotSent;
+    } else if (answer.status == CallStatus::NoCapacity) {
+        outcome = StartOutcome::NoCapacity;
+    } else if (answer.status == CallStatus::NoTicket) {
+        outcome = StartOutcome::NoTicket;
+    }
+    const bool started = outcome == StartOutcome::Started;
+    transport::log(started ? transport::LogLevel::Info : transport::LogLevel::Warn, "run-ordered",
+                   {{"task", toString(start.task)},
+                    {"run", std::to_string(start.run)},
+                    {"worker", start.worker.value},
+                    {"incarnation", std::to_string(start.incarnation.value)},
+                    {"checkpoint", start.checkpoint},
+                    {"token", std::to_string(m_token.value)},
+                    {"outcome", started ? "started" : answer.failure}});
+    m_ports.metrics->countStart(outcome);
+    m_scheduler.startAnswered(start.task, start.run, outcome, now());
+    if (answer.status == CallStatus::Fenced) {
+        m_ports.depose("a worker has seen a higher fencing token");
+    }
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::order(state::batch::StopOrder stop)
+{
+    const auto self = shared_from_this();
+    const auto found = m_sessions.find(stop.worker);
+    if (m_stopped || found == m_sessions.end()) {
+        m_scheduler.stopUnanswered(stop.task, stop.run, now());
+        co_return;
+    }
+    const auto session = found->second;
+    const auto answer = co_await session->calls->stop(stop, m_token, m_times.orderTimeout);
+    if (m_stopped) {
+        co_return;
+    }
+    transport::log(transport::LogLevel::Info, "stop-ordered",
+                   {{"task", toString(stop.task)},
+                    {"run", std::to_string(stop.run)},
+                    {"worker", stop.worker.value},
+                    {"token", std::to_string(m_token.value)},
+                    {"outcome", answer.failure.empty() ? "answered" : answer.failure}});
+    m_ports.metrics->countStop(answer.status == protocol::batch::CallStatus::Answered);
+    if (answer.status == protocol::batch::CallStatus::Answered) {
+        m_scheduler.stopAnswered(stop.task, stop.run, now());
+        session->wake.cancel();
+        wake();
+        co_return;
+    }
+    m_scheduler.stopUnanswered(stop.task, stop.run, now());
+    if (answer.status == protocol::batch::CallStatus::Fenced) {
+        m_ports.depose("a worker has seen a higher fencing token");
+    } else if (answer.status == protocol::batch::CallStatus::OtherIncarnation) {
+        handleReplacedWorker(*session);
+    }
+    wake();
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::handleReplacedWorker(const Session &session)
+{
+    transport::log(transport::LogLevel::Info, "worker-replaced",
+                   {{"worker", session.id.value}, {"address", session.address}});
+    m_scheduler.workerReplaced(session.id);
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::pollLoop(std::shared_ptr<Session> session)
+{
+    const auto self = shared_from_this();
+    while (!m_stopped && !session->closed) {
+        if (session->processedEnd > session->confirmedEnd) {
+            session->wake.expires_after(m_times.recordTimeout);
+            co_await session->wake.async_wait(detail::waitTuple);
+        } else if (!m_scheduler.needsPoll(session->id)) {
+            if (m_scheduler.workers().find(session->id) == nullptr) {
+                break;
+            }
+            session->wake.expires_after(detail::idlePollInterval);
+            co_await session->wake.async_wait(detail::waitTuple);
+            continue;
+        }
+        const state::batch::Worker *worker = m_scheduler.workers().find(session->id);
+        const bool answersLater = worker != nullptr && worker->runs > 0 && worker->fenced && !worker->unreachable;
+        if (!answersLater) {
+            co_await waitForPollSlot(session);
+        }
+        if (m_stopped) {
+            co_return;
+        }
+        if (!session->closed) {
+            co_await poll(*session);
+        }
+        if (std::exchange(session->mayPoll, false)) {
+            m_polls.answered(session->pollTicket);
+            grantPolls();
+        }
+    }
+    session->polling = false;
+    session->closed = true;
+    if (const auto found = m_sessions.find(session->id); found != m_sessions.end() && found->second == session) {
+        m_sessions.erase(found);
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::waitForPollSlot(std::shared_ptr<Session> session)
+{
+    const state::batch::Worker *worker = m_scheduler.workers().find(session->id);
+    const bool runs = worker != nullptr && worker->runs > 0;
+    m_polls.push(runs ? SendClass::Urgent : SendClass::Ordinary, session->id, detail::pollBytes, session);
+    grantPolls();
+    while (!session->mayPoll && !m_stopped) {
+        session->wake.expires_after(detail::idlePollInterval);
+        co_await session->wake.async_wait(detail::waitTuple);
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::grantPolls()
+{
+    while (!m_stopped) {
+        auto granted = m_polls.pop(now());
+        if (!granted) {
+            break;
+        }
+        granted->order->mayPoll = true;
+        granted->order->pollTicket = granted->ticket;
+        granted->order->wake.cancel();
+    }
+    const auto wait = m_polls.nextSendIn(now());
+    if (m_stopped || !wait) {
+        return;
+    }
+    m_pollTimer.expires_after(std::max(*wait, state::Duration(1)));
+    m_pollTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->grantPolls();
+        }
+    });
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::poll(Session &session)
+{
+    protocol::batch::PollRequest request;
+    request.token = m_token;
+    request.confirmedEnd = session.confirmedEnd;
+    const state::batch::Worker *worker = m_scheduler.workers().find(session.id);
+    const bool runs = worker != nullptr && worker->runs > 0;
+    const bool leaseEligible = worker != nullptr && worker->fenced && !worker->unreachable && session.clock;
+    if (runs && leaseEligible && session.processedEnd == session.confirmedEnd) {
+        request.wait = m_times.pollWait;
+    }
+    // The lease of an unreachable worker is not extended: otherwise its runs would never count as ended.
+    if (runs && leaseEligible && hasAuthority()) {
+        request.leaseUntil = session.leaseEnd(m_times.lease);
+        m_scheduler.leaseExtended(session.id, latestLeaseExpiry(m_times.lease));
+    }
+    const state::Instant askedAt = now();
+    auto answer = co_await session.calls->poll(request, request.wait + m_times.pollResponseMargin);
+    if (m_stopped) {
+        co_return;
+    }
+    m_ports.metrics->countPoll(answer.status == protocol::batch::CallStatus::Answered);
+    if (answer.status == protocol::batch::CallStatus::Fenced) {
+        m_ports.depose("a worker has seen a higher fencing token");
+        co_return;
+    }
+    if (answer.status == protocol::batch::CallStatus::OtherIncarnation) {
+        handleReplacedWorker(session);
+        wake();
+        co_await protocol::waitFor(m_times.pollRetryDelay);
+        co_return;
+    }
+    if (answer.status != protocol::batch::CallStatus::Answered) {
+        if (++session.failures == 1) {
+            transport::log(transport::LogLevel::Warn, "worker-silent",
+                           {{"worker", session.id.value}, {"error", answer.failure}});
+        }
+        m_scheduler.workerUnreachable(session.id);
+        wake();
+        co_await protocol::waitFor(m_times.pollRetryDelay);
+        co_return;
+    }
+    if (session.failures > 0) {
+        transport::log(transport::LogLevel::Info, "worker-answers", {{"worker", session.id.value}});
+    }
+    session.failures = 0;
+    if (answer.report.incarnation < session.incarnation) {
+        co_return;
+    }
+    session.updateIncarnation(answer.report.incarnation);
+    session.updateClock(answer.clock);
+    answer.report.askedAt = askedAt;
+    for (const auto &end : answer.report.ended) {
+        session.processedEnd = std::max(session.processedEnd, end.number);
+        if (end.number > session.confirmedEnd) {
+            transport::log(transport::LogLevel::Info, "run-ended",
+                           {{"task", toString(end.task)},
+                            {"run", std::to_string(end.run)},
+                            {"worker", session.id.value},
+                            {"how", endKindName(end.kind)}});
+            m_ports.metrics->countEnd(end.kind);
+        }
+    }
+    // From its first answer on, the worker rejects earlier deciders, so that their leases end no later than a new one.
+    worker = m_scheduler.workers().find(session.id); // It may have been removed while the poll was open.
+    if (worker != nullptr && !worker->fenced) {
+        m_scheduler.predecessorsFenced(session.id, latestLeaseExpiry(m_times.lease));
+    }
+    m_scheduler.workerAnswered(session.id, answer.report, now());
+    wake();
+    if (!answer.report.ended.empty()) {
+        // Runs of a gang end together, so that one further poll reports several of them.
+        co_await protocol::waitFor(m_times.pollPause);
+    }
+}
+
+} // namespace heatherquay::coordination::batch
--- a/src/heatherquay/coordination/batch/order_queue.hpp
+++ b/src/heatherquay/coordination/batch/send_queue.hpp
@@ -14,8 +14,8 @@
 namespace heatherquay::coordination::batch
 {
 
-/// Limits of the orders that a decider sends.
-struct OrderLimits
+/// Limits of the calls to workers: orders, or polls that are answered at once.
+struct SendLimits
 {
     double bytesPerMillisecond{17'500}; ///< Rate of orders; 0.7 of a link of 200 Mbit/s.
     state::Duration burst{30}; ///< Orders of this time at the rate may be sent at once.
@@ -27,18 +27,19 @@
     double typicalBytes{900}; ///< Size of an order of average payload, for the length of the backlog in orders.
 };
 
-/// Order in which queued orders are sent.
-enum class OrderClass
+/// Order in which queued calls are sent.
+enum class SendClass
 {
     Urgent, ///< Starts of urgent jobs, and stops, which make room.
     Ordinary
 };
 
-/// Orders that wait to be sent. Keeps the rate of the link, limits the orders in flight and sends urgent orders first.
-/// Uses no clock and no network.
+/// Calls to workers that wait to be sent. Keeps to the rate of the link, limits the calls in flight, in total and to
+/// each worker, and sends urgent ones first. Uses no clock and no network. The decider has one queue for orders and one
+/// for polls; the names below speak of orders.
 /// @tparam Order what is sent
 template<typename Order>
-class OrderQueue
+class SendQueue
 {
 public:
     /// Identifies an order in flight.
@@ -49,7 +50,7 @@
         Order order;
     };
 
-    explicit OrderQueue(OrderLimits limits = {})
+    explicit SendQueue(SendLimits limits = {})
         : m_limits(limits)
         , m_tokens(burstBytes())
     {
@@ -57,11 +58,11 @@
 
     /// Adds an order behind those of its class.
     /// @param bytes size on the wire
-    void push(OrderClass orderClass, const state::WorkerId &worker, double bytes, Order order)
+    void push(SendClass sendClass, const state::WorkerId &worker, double bytes, Order order)
     {
         Waiting &waiting = m_waiting[worker];
         unlist(worker, waiting);
-        waiting.items.emplace(Key{orderClass, ++m_sequence}, Item{bytes, std::move(order)});
+        waiting.items.emplace(Key{sendClass, ++m_sequence}, Item{bytes, std::move(order)});
         list(worker, waiting);
         ++m_size;
     }
@@ -86,7 +87,7 @@
     }
 
 private:
-    using Key = std::pair<OrderClass, std::uint64_t>;
+    using Key = std::pair<SendClass, std::uint64_t>;
     struct Item
     {
         double bytes{};
@@ -132,7 +133,7 @@
         return static_cast<std::size_t>(std::distance(old, m_sentAt.end()));
     }
 
-    OrderLimits m_limits;
+    SendLimits m_limits;
     std::map<state::WorkerId, Waiting> m_waiting;
     std::set<std::pair<Key, state::WorkerId>> m_ready; ///< First order of each worker that takes another one.
     std::map<Ticket, InFlight> m_inFlight;
@@ -145,7 +146,7 @@
 };
 
 template<typename Order>
-std::optional<typename OrderQueue<Order>::Sent> OrderQueue<Order>::pop(state::Instant now)
+std::optional<typename SendQueue<Order>::Sent> SendQueue<Order>::pop(state::Instant now)
 {
     const double tokens = tokensAt(now);
     if (m_ready.empty() || tokens <= 0 || recentlySent(now) >= m_limits.inFlightMax) {
@@ -167,7 +168,7 @@
 }
 
 template<typename Order>
-void OrderQueue<Order>::answered(Ticket ticket)
+void SendQueue<Order>::answered(Ticket ticket)
 {
     const auto found = m_inFlight.find(ticket);
     if (found == m_inFlight.end()) {
@@ -186,7 +187,7 @@
 }
 
 template<typename Order>
-std::optional<state::Duration> OrderQueue<Order>::nextSendIn(state::Instant now) const
+std::optional<state::Duration> SendQueue<Order>::nextSendIn(state::Instant now) const
 {
     if (m_ready.empty()) {
         return std::nullopt;
--- a/tests/batch/order_queue_test.cpp
+++ b/tests/batch/send_queue_test.cpp
@@ -1,4 +1,4 @@
-#include "heatherquay/coordination/batch/order_queue.hpp"
+#include "heatherquay/coordination/batch/send_queue.hpp"
 
 #include <string>
 #include <vector>
@@ -12,7 +12,7 @@
 namespace
 {
 
-using Queue = OrderQueue<int>;
+using Queue = SendQueue<int>;
 
 state::WorkerId worker(int number)
 {
@@ -35,18 +35,18 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(batch_order_queue)
+BOOST_AUTO_TEST_SUITE(batch_send_queue)
 
 // Guards against a storm: orders that wait on the link until their timeout are sent again and cancelled by stops. The
 // load is a burst of 600 starts of 1,200 bytes on a link of 2 Mbit/s with a timeout of 300 ms.
 BOOST_AUTO_TEST_CASE(a_burst_leaves_within_the_timeout_of_its_orders)
 {
-    OrderLimits limits;
+    SendLimits limits;
     limits.bytesPerMillisecond = 0.7 * 250;
     Queue queue(limits);
     Link link{250};
     for (int i = 0; i < 600; ++i) {
-        queue.push(OrderClass::Ordinary, worker(i % 120), 1'200, i);
+        queue.push(SendClass::Ordinary, worker(i % 120), 1'200, i);
     }
     int sent = 0;
     double longest = 0;
@@ -64,16 +64,16 @@
 // Guards against urgent jobs that start late behind a wide job.
 BOOST_AUTO_TEST_CASE(urgent_orders_overtake_ordinary_ones)
 {
-    OrderLimits limits;
+    SendLimits limits;
     limits.bytesPerMillisecond = 10;
     limits.burst = 10ms;
     Queue queue(limits);
     state::Instant now(1s);
     for (int i = 0; i < 50; ++i) {
-        queue.push(OrderClass::Ordinary, worker(i), 1'000, i);
+        queue.push(SendClass::Ordinary, worker(i), 1'000, i);
     }
     BOOST_TEST(queue.pop(now).has_value());
-    queue.push(OrderClass::Urgent, worker(7), 1'000, 1'000);
+    queue.push(SendClass::Urgent, worker(7), 1'000, 1'000);
     now += 200ms;
     const auto next = queue.pop(now);
     BOOST_REQUIRE(next.has_value());
@@ -83,12 +83,12 @@
 // Guards against a worker whose silence holds back the orders to all others.
 BOOST_AUTO_TEST_CASE(silent_workers_do_not_stop_the_others)
 {
-    OrderLimits limits;
+    SendLimits limits;
     limits.inFlightMax = 4;
     Queue queue(limits);
     state::Instant now(1s);
     for (int i = 0; i < 8; ++i) {
-        queue.push(OrderClass::Ordinary, worker(i), 100, i);
+        queue.push(SendClass::Ordinary, worker(i), 100, i);
     }
     int sent = 0;
     while (queue.pop(now)) {
@@ -111,7 +111,7 @@
     Queue queue;
     const state::Instant now(1s);
     for (int i = 0; i < 5; ++i) {
-        queue.push(OrderClass::Ordinary, worker(0), 100, i);
+        queue.push(SendClass::Ordinary, worker(0), 100, i);
     }
     std::vector<Queue::Ticket> tickets;
     while (const auto sent = queue.pop(now)) {
@@ -130,25 +130,25 @@
 // Guards against planning more starts than can be sent, and against planning none at all on a slow link.
 BOOST_AUTO_TEST_CASE(the_backlog_is_bounded_and_never_zero)
 {
-    OrderLimits limits;
+    SendLimits limits;
     limits.bytesPerMillisecond = 1;
     limits.typicalBytes = 900;
     Queue queue(limits);
     BOOST_TEST(queue.freeBacklog() == 1U);
-    queue.push(OrderClass::Ordinary, worker(0), 900, 0);
+    queue.push(SendClass::Ordinary, worker(0), 900, 0);
     BOOST_TEST(queue.freeBacklog() == 0U);
 }
 
 // Guards against a timer that never fires after an order larger than the burst.
 BOOST_AUTO_TEST_CASE(an_order_above_the_burst_delays_the_next_one)
 {
-    OrderLimits limits;
+    SendLimits limits;
     limits.bytesPerMillisecond = 10;
     limits.burst = 10ms;
     Queue queue(limits);
     state::Instant now(1s);
-    queue.push(OrderClass::Ordinary, worker(0), 5'000, 0);
-    queue.push(OrderClass::Ordinary, worker(1), 100, 1);
+    queue.push(SendClass::Ordinary, worker(0), 5'000, 0);
+    queue.push(SendClass::Ordinary, worker(1), 100, 1);
     BOOST_TEST(queue.pop(now).has_value());
     BOOST_TEST(!queue.pop(now).has_value());
     const auto wait = queue.nextSendIn(now);
