--- /dev/null
+++ b/review/standin/json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled once for all cases.
+#include <boost/json/src.hpp>
