Count leases from a lower bound of the worker's clock

A worker with a clock 2 % slow that had been idle for a minute was cut off right after a start, and its task was started elsewhere while it worked on.

Cause: the end of a lease was computed from the latest reading of the worker's clock plus the full time since then. With a slow clock, the lease grew by 2 % of the age of the reading, which has no bound for idle workers. The decider took the runs of the silent worker for ended after the intended length.

Evidence: the worker's record showed a lease of 6.2 s in place of 5 s after 60 s without a poll. The new test batch_decider/an_idle_worker_with_a_slow_clock_gets_no_longer_lease failed on the code before.

Change: WorkerClock keeps a lower bound of the worker's clock for the slowest allowed rate, and all leases count from it. A worker with an old reading is polled while the record of its start is stored, and gets no lease while the uncertainty exceeds half of the lease. A lease can now only be shorter than assumed, which costs a repeated order at most.

The emulated worker now refuses starts whose lease has ended already, as the protocol says.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -65,6 +65,9 @@
     std::chrono::milliseconds endedJobRetention{180'000};
     /// Slowest rate of a worker's clock relative to the decider's clock.
     double clockRateMin{0.98};
+    /// A worker is polled before a start when its clock is known less precisely than this, because the uncertainty
+    /// shortens the lease.
+    std::chrono::milliseconds clockUncertaintyMax{200};
     /// Time that a worker takes to end its runs after its lease expires.
     std::chrono::milliseconds leaseExpiryMargin{300};
 };
@@ -171,6 +174,13 @@
     void spawn(boost::asio::awaitable<void> task, TaskKind kind = TaskKind::Ordinary);
     /// @return whether the store confirmed the term recently enough to grant leases
     bool hasAuthority() const;
+    /// @return whether the reading of the worker's clock is recent; otherwise the worker is polled for a new one
+    bool hasRecentClock(const Session &session) const;
+    /// @return whether the worker's clock is known well enough to grant a lease that outlasts the next poll
+    bool canGrantLease(const Session &session) const;
+    /// The worker's clock must be known.
+    /// @return the expiry, on the worker's clock, of a lease granted now
+    protocol::batch::WorkerTime leaseEnd(const Session &session) const;
     /// @return the latest time, on this process's clock, at which a lease granted now expires and its runs have ended
     state::Instant latestLeaseExpiry(std::chrono::milliseconds lease) const;
     state::Instant now() const;
--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -82,15 +82,18 @@
         co_return;
     }
     protocol::batch::OrderAnswer answer;
-    if (found == m_sessions.end() || !found->second->clock || !hasAuthority()) {
+    std::chrono::milliseconds clockUncertainty{};
+    if (found == m_sessions.end() || !canGrantLease(*found->second) || !hasAuthority()) {
         answer.status = protocol::batch::CallStatus::NotSent;
-        answer.failure = "cannot grant a lease: no session, unknown worker clock, or term not confirmed";
+        answer.failure
+            = "cannot grant a lease: no session, no recent reading of the worker's clock, or term not confirmed";
     } else {
         const auto session = found->second;
         m_scheduler.leaseExtended(start.worker, latestLeaseExpiry(m_times.lease));
-        answer = co_await session->calls->start(start, m_token, session->leaseEnd(m_times.lease), m_times.orderTimeout);
+        clockUncertainty = session->clock.uncertainty(Clock::now());
+        answer = co_await session->calls->start(start, m_token, leaseEnd(*session), m_times.orderTimeout);
         if (answer.clock) {
-            session->updateClock(*answer.clock);
+            session->clock.update(*answer.clock, Clock::now());
         }
         session->wake.cancel();
     }
@@ -119,6 +122,7 @@
                     {"incarnation", std::to_string(start.incarnation.value)},
                     {"checkpoint", start.checkpoint},
                     {"token", std::to_string(m_token.value)},
+                    {"clock_uncertainty_ms", std::to_string(clockUncertainty.count())},
                     {"outcome", started ? "started" : answer.failure}});
     m_ports.metrics->countStart(outcome);
     m_scheduler.startAnswered(start.task, start.run, outcome, now());
@@ -189,7 +193,8 @@
             continue;
         }
         const state::batch::Worker *worker = m_scheduler.workers().find(session->id);
-        const bool answersLater = worker != nullptr && worker->runs > 0 && worker->fenced && !worker->unreachable;
+        const bool answersLater = worker != nullptr && worker->runs > 0 && worker->fenced && !worker->unreachable
+            && hasRecentClock(*session);
         if (!answersLater) {
             co_await waitForPollSlot(session);
         }
@@ -256,13 +261,13 @@
     request.confirmedEnd = session.confirmedEnd;
     const state::batch::Worker *worker = m_scheduler.workers().find(session.id);
     const bool runs = worker != nullptr && worker->runs > 0;
-    const bool leaseEligible = worker != nullptr && worker->fenced && !worker->unreachable && session.clock;
-    if (runs && leaseEligible && session.processedEnd == session.confirmedEnd) {
+    const bool leaseEligible = worker != nullptr && worker->fenced && !worker->unreachable && session.clock.known();
+    if (runs && leaseEligible && hasRecentClock(session) && session.processedEnd == session.confirmedEnd) {
         request.wait = m_times.pollWait;
     }
     // The lease of an unreachable worker is not extended: otherwise its runs would never count as ended.
     if (runs && leaseEligible && hasAuthority()) {
-        request.leaseUntil = session.leaseEnd(m_times.lease);
+        request.leaseUntil = leaseEnd(session);
         m_scheduler.leaseExtended(session.id, latestLeaseExpiry(m_times.lease));
     }
     const state::Instant askedAt = now();
@@ -299,7 +304,7 @@
         co_return;
     }
     session.updateIncarnation(answer.report.incarnation);
-    session.updateClock(answer.clock);
+    session.clock.update(answer.clock, Clock::now());
     answer.report.askedAt = askedAt;
     for (const auto &end : answer.report.ended) {
         session.processedEnd = std::max(session.processedEnd, end.number);
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -135,6 +135,24 @@
     return !m_stopped && Clock::now() - m_ports.confirmedAt() <= m_times.authorityTimeout;
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+bool Decider<Store, Worker>::hasRecentClock(const Session &session) const
+{
+    return session.clock.uncertainty(Clock::now()) <= m_times.clockUncertaintyMax;
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+bool Decider<Store, Worker>::canGrantLease(const Session &session) const
+{
+    return session.clock.uncertainty(Clock::now()) <= m_times.lease / 2;
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+protocol::batch::WorkerTime Decider<Store, Worker>::leaseEnd(const Session &session) const
+{
+    return session.clock.earliest(Clock::now()) + m_times.lease;
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 state::Instant Decider<Store, Worker>::latestLeaseExpiry(std::chrono::milliseconds lease) const
 {
@@ -245,7 +263,8 @@
         session.reset();
     }
     if (!session) {
-        session = std::make_shared<Session>(m_executor, spec.id, spec.address, m_ports.connect(spec));
+        session
+            = std::make_shared<Session>(m_executor, spec.id, spec.address, m_ports.connect(spec), m_times.clockRateMin);
     }
     session->updateIncarnation(spec.incarnation);
     session->wake.cancel();
@@ -374,6 +393,12 @@
         spawn(adviceLoop());
     }
     m_pendingStarts.insert(m_pendingStarts.end(), decision.starts.begin(), decision.starts.end());
+    for (const state::batch::StartOrder &start : decision.starts) {
+        const auto found = m_sessions.find(start.worker);
+        if (found != m_sessions.end() && !hasRecentClock(*found->second)) {
+            found->second->wake.cancel(); // The poll is answered while the records are stored.
+        }
+    }
     std::map<state::WorkerId, std::pair<state::batch::Incarnation, std::uint64_t>> processed;
     for (const auto &[id, session] : m_sessions) {
         processed[id] = {session->incarnation, session->processedEnd};
--- a/src/heatherquay/coordination/batch/worker_session.hpp
+++ b/src/heatherquay/coordination/batch/worker_session.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "heatherquay/coordination/batch/worker_clock.hpp"
 #include "heatherquay/protocol/batch/worker_calls.hpp"
 
-#include <chrono>
 #include <cstdint>
 #include <memory>
-#include <optional>
+#include <string>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -17,14 +17,13 @@
 template<protocol::batch::WorkerCalls Worker>
 struct WorkerSession
 {
-    using Clock = std::chrono::steady_clock;
-
     WorkerSession(const boost::asio::any_io_executor &executor, state::WorkerId workerId, std::string workerAddress,
-                  std::shared_ptr<Worker> workerCalls)
+                  std::shared_ptr<Worker> workerCalls, double clockRateMin)
         : id(std::move(workerId))
         , address(std::move(workerAddress))
         , calls(std::move(workerCalls))
         , wake(executor)
+        , clock(clockRateMin)
     {
     }
 
@@ -33,8 +32,7 @@
     std::shared_ptr<Worker> calls;
     boost::asio::steady_timer wake; ///< Cancelled to wake the poll loop.
     state::batch::Incarnation incarnation;
-    std::optional<protocol::batch::WorkerTime> clock; ///< The worker's clock in its latest answer.
-    Clock::time_point clockReadAt; ///< When that answer arrived, on this process's clock.
+    WorkerClock clock; ///< Of the current incarnation.
     std::uint64_t processedEnd{}; ///< Number of the newest run end that the scheduler has processed.
     std::uint64_t confirmedEnd{}; ///< Number of the newest run end whose records are stored.
     std::uint32_t failures{}; ///< Consecutive unanswered polls.
@@ -43,22 +41,6 @@
     std::uint64_t pollTicket{}; ///< Of that poll.
     bool closed{};
 
-    /// Records a reading of the worker's clock.
-    void updateClock(protocol::batch::WorkerTime reading)
-    {
-        // Answers may arrive out of order; within an incarnation the clock never goes back.
-        if (!clock || reading >= *clock) {
-            clock = reading;
-            clockReadAt = Clock::now();
-        }
-    }
-    /// The worker's clock must be known. It may run slower than this process's clock, but not faster.
-    /// @return the expiry, on the worker's clock, of a lease that starts now and lasts @p length
-    protocol::batch::WorkerTime leaseEnd(std::chrono::milliseconds length) const
-    {
-        const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - clockReadAt);
-        return *clock + passed + length;
-    }
     /// Resets the clock and the run end numbers when the worker's incarnation has changed.
     void updateIncarnation(state::batch::Incarnation now)
     {
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -31,7 +31,8 @@
 struct DeciderProcess
 {
     DeciderProcess(boost::asio::io_context &context, test::MemoryStore &rowStore,
-                   std::map<std::string, std::shared_ptr<test::FakeWorker>> &workers, std::uint64_t token)
+                   std::map<std::string, std::shared_ptr<test::FakeWorker>> &workers, std::uint64_t token,
+                   double clockRateMin = DeciderTimes().clockRateMin)
         : store(rowStore)
         , mirror(store, boardTable, {intakePart, deciderPart}, [this](const protocol::batch::StoredRow &row) {
             if (row.key.key == termKey) {
@@ -89,6 +90,7 @@
         times.orderTimeout = 60ms;
         times.recordTimeout = 50ms;
         times.leaseExpiryMargin = 20ms;
+        times.clockRateMin = clockRateMin;
         state::batch::SchedulerSettings settings;
         settings.stopRetry = 50ms;
         decider = std::make_shared<TestDecider>(context.get_executor(), store, protocol::batch::FencingToken{token},
@@ -149,9 +151,32 @@
         store.put({"workers", "", id}, std::to_string(++registrations));
     }
 
-    void start(std::uint64_t token = 1)
+    void start(double clockRateMin = DeciderTimes().clockRateMin)
     {
-        process = std::make_unique<DeciderProcess>(context, store, workers, token);
+        process = std::make_unique<DeciderProcess>(context, store, workers, 1, clockRateMin);
+    }
+
+    /// Makes the worker that runs the only task unreachable.
+    std::shared_ptr<test::FakeWorker> partitionBusyWorker()
+    {
+        std::shared_ptr<test::FakeWorker> partitioned;
+        for (auto &[id, worker] : workers) {
+            if (worker->running() > 0) {
+                worker->unreachable = true;
+                partitioned = worker;
+            }
+        }
+        BOOST_REQUIRE(partitioned);
+        return partitioned;
+    }
+
+    /// Runs until the only task has started a second time, for at most two seconds.
+    void runUntilSecondStart()
+    {
+        for (int i = 0; i < 100 && starts().begin()->second == 1; ++i) {
+            process->confirmedAt = std::chrono::steady_clock::now(); // Heartbeats do this outside of the test.
+            runFor(20ms);
+        }
     }
 
     void submit(const std::string &id, std::uint32_t tasks)
@@ -357,20 +382,30 @@
     start();
     submit("a", 1);
     runFor(100ms);
-    std::shared_ptr<test::FakeWorker> partitionedWorker;
+    const auto partitioned = partitionBusyWorker();
+    runUntilSecondStart();
+    BOOST_TEST(starts().begin()->second == 2);
+    BOOST_TEST(partitioned->clock().count() > partitioned->leaseUntil().count());
+}
+
+// Guards against two concurrent runs of a task: the lease of a worker with a slow clock grew while the worker was idle,
+// because the age of the clock reading was added at the full rate.
+BOOST_AUTO_TEST_CASE(an_idle_worker_with_a_slow_clock_gets_no_longer_lease)
+{
+    constexpr double slowRate = 0.5;
     for (auto &[id, worker] : workers) {
-        if (worker->running() > 0) {
-            worker->unreachable = true;
-            partitionedWorker = worker;
-        }
-    }
-    BOOST_REQUIRE(partitionedWorker);
-    for (int i = 0; i < 100 && starts().begin()->second == 1; ++i) {
-        process->confirmedAt = std::chrono::steady_clock::now();
-        runFor(20ms);
+        worker->taskDuration = 10s;
+        worker->clockRate = slowRate;
     }
+    start(slowRate);
+    runFor(1'200ms);
+    process->confirmedAt = std::chrono::steady_clock::now();
+    submit("a", 1);
+    runFor(60ms);
+    const auto partitioned = partitionBusyWorker();
+    runUntilSecondStart();
     BOOST_TEST(starts().begin()->second == 2);
-    BOOST_TEST(partitionedWorker->clock().count() > partitionedWorker->leaseUntil().count());
+    BOOST_TEST(partitioned->clock().count() > partitioned->leaseUntil().count());
 }
 
 // Guards against a failover that starts tasks again although their runs continue.
--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -121,10 +121,11 @@
         answer.status = CallStatus::Fenced;
         co_return answer;
     }
+    const bool late = leaseUntil <= clock();
     m_leaseUntil = std::max(m_leaseUntil, leaseUntil);
     const auto running = m_runs.find(order.task);
     const auto last = m_lastEndedRun.find(order.task);
-    if (last != m_lastEndedRun.end() && last->second >= order.run) {
+    if (late || (last != m_lastEndedRun.end() && last->second >= order.run)) {
         answer.status = CallStatus::Refused;
     } else {
         answer.status = CallStatus::Answered;
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -62,11 +62,12 @@
     /// @return the time since the worker's start
     protocol::batch::WorkerTime clock() const
     {
-        return std::chrono::duration_cast<protocol::batch::WorkerTime>(Clock::now() - m_startedAt);
+        return std::chrono::duration_cast<protocol::batch::WorkerTime>((Clock::now() - m_startedAt) * clockRate);
     }
 
     state::batch::WorkerSpec spec;
     std::chrono::milliseconds taskDuration{100}; ///< Run time of every task.
+    double clockRate{1}; ///< Rate of the worker's clock. Must not change during the test.
     bool unreachable{}; ///< The worker neither executes calls nor responds to them.
     bool dropsResponses{}; ///< The worker executes calls but does not respond to them.
     std::vector<WorkerEvent> records; ///< All starts and stops, in order.
