Keep a run that a restarted worker may have accepted

Cause: a start order to the old incarnation of a worker can reach the new one, and the answer does not name the incarnation. When the decider learned of the restart, it released all runs in phase Running, also one that the new incarnation had accepted, and started the task elsewhere.

Evidence: in the worker's record the double runs began right after a restart.

Change: a run that the old incarnation has not listed in a poll is kept; the first answer of the new incarnation to a poll that was sent after the start shows whether it has the run. A run with an unanswered order is stopped on the new incarnation before it is started elsewhere. A run that the old incarnation had listed is released at once, as before.

--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -177,27 +177,36 @@
     if (!m_pool.registerWorker(spec, leaseUntil)) {
         return;
     }
-    // The restart ended all runs, but an unanswered start order may still reach the new incarnation.
     const std::set<RunRef> runs = m_runsOn[spec.id];
     for (const RunRef &ref : runs) {
-        const RunLocation run = findRun(ref);
-        Member &member = *run.member;
-        const bool unanswered = member.phase == RunPhase::Ordered || member.phase == RunPhase::Uncertain;
-        if (unanswered) {
-            member.phase = RunPhase::Uncertain;
-            member.incarnation = spec.incarnation;
-            member.stopAnswered = false;
-        } else if (member.phase == RunPhase::Running) {
-            releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
-        }
-        if (detail::mayBeActive(member) || member.phase == RunPhase::Gone) {
-            stopUnit(*run.unit);
-        }
-        run.occurrence->changed = true;
+        handleRestart(ref, spec.incarnation);
     }
     m_pool.find(spec.id)->answeredAt = now;
 }
 
+void Scheduler::handleRestart(const RunRef &ref, Incarnation incarnation)
+{
+    const RunLocation run = findRun(ref);
+    Member &member = *run.member;
+    if (!detail::mayBeActive(member)) {
+        return;
+    }
+    member.incarnation = incarnation;
+    member.stopAnswered = false;
+    if (member.phase == RunPhase::Running && !member.maybeSent) {
+        if (member.reportedAt == Instant{}) {
+            // The answer to a start does not name the incarnation, so the new one may have accepted the run. Its next
+            // answer to a poll shows whether it has.
+            return;
+        }
+        releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+    } else {
+        member.phase = RunPhase::Uncertain; // An unanswered order may still reach the new incarnation.
+    }
+    stopUnit(*run.unit);
+    run.occurrence->changed = true;
+}
+
 void Scheduler::unregisterWorker(const WorkerId &id)
 {
     m_pool.unregister(id);
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -303,6 +303,8 @@
     void failIfAttemptsExhausted(Job &job, const Unit &unit);
     /// Marks the unit's present run for stopping.
     void stopUnit(Unit &unit);
+    /// Ends the run of a worker that has restarted, unless the new incarnation may have it.
+    void handleRestart(const RunRef &ref, Incarnation incarnation);
     /// Marks the member as gone and frees its resources.
     void releaseMember(Job &job, Occurrence &occurrence, Unit &unit, std::size_t member);
     void handleRunEnd(RunLocation &run, const EndReport &end, Instant now);
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -495,6 +495,30 @@
     BOOST_TEST(completed("a"));
 }
 
+// Guards against two concurrent runs: a worker that has restarted accepts an order before the decider learns of the
+// restart.
+BOOST_AUTO_TEST_CASE(a_run_accepted_by_a_restarted_worker_runs_once)
+{
+    for (auto &[id, worker] : workers) {
+        worker->taskDuration = 400ms;
+    }
+    start();
+    runFor(50ms);
+    for (auto &[id, worker] : workers) {
+        worker->restart();
+    }
+    submit("a", 2);
+    runFor(30ms);
+    for (const auto &[id, worker] : workers) {
+        registerWorker(id);
+    }
+    runFor(900ms);
+    BOOST_TEST(completed("a"));
+    for (const auto &[task, count] : starts()) {
+        BOOST_TEST(count == 1, task);
+    }
+}
+
 // Guards against runs that continue after their job is cancelled.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped)
 {
