Assume the longest lease after a worker has restarted

The lease in a start order ends at a time on the worker's clock. When the order reaches a new incarnation, whose clock has started anew, that time is far ahead, and the worker grants the longest lease that it allows (10 s). The decider assumed the intended 5 s and would start the task elsewhere while a worker that was cut off after its restart still runs it.

Change: the decider assumes the longest lease when a registration or a poll shows a new incarnation, or when the clock in the answer to a start is behind the time that it must have reached. The bound on predecessors' leases is no longer applied to a worker that has restarted, because this decider's orders may have extended its lease.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -41,6 +41,8 @@
 {
     /// Lease of a worker. It outlasts a failover and does not exceed the longest lease that workers accept.
     std::chrono::milliseconds lease{5'000};
+    /// Longest lease that workers accept; they shorten longer ones.
+    std::chrono::milliseconds leaseMax{10'000};
     /// Leases are not extended when the store last confirmed the term longer ago than this.
     std::chrono::milliseconds authorityTimeout{4'000};
     /// Longest wait for an event before the next pass; also the retry delay after a failed pass.
@@ -158,6 +160,12 @@
     boost::asio::awaitable<void> order(state::batch::StopOrder stop);
     boost::asio::awaitable<void> adviceLoop();
     void handleReplacedWorker(const Session &session);
+    /// Takes the incarnation from a registration or an answer of the worker.
+    void updateIncarnation(Session &session, state::batch::Incarnation incarnation);
+    /// Accounts for the lease of a worker that may have restarted. An order that was sent to its earlier incarnation
+    /// ends the lease at a time on the earlier clock, which the new incarnation reads as a lease of any length up to
+    /// leaseMax.
+    void assumeLongestLease(const Session &session);
     void applyJobRow(const protocol::batch::StoredRow &row);
     void applyWorkerRow(const protocol::batch::StoredRow &row);
     void admit(const state::batch::JobSpec &job);
--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -91,8 +91,12 @@
         const auto session = found->second;
         m_scheduler.leaseExtended(start.worker, latestLeaseExpiry(m_times.lease));
         clockUncertainty = session->clock.uncertainty(Clock::now());
+        const protocol::batch::WorkerTime clockWhenSent = session->clock.earliest(Clock::now());
         answer = co_await session->calls->start(start, m_token, leaseEnd(*session), m_times.orderTimeout);
-        if (answer.clock) {
+        if (answer.clock && *answer.clock < clockWhenSent) {
+            // Only a restart sets a worker's clock back. The next poll shows the new incarnation.
+            assumeLongestLease(*session);
+        } else if (answer.clock) {
             session->clock.update(*answer.clock, Clock::now());
         }
         session->wake.cancel();
@@ -176,6 +180,20 @@
     m_scheduler.workerReplaced(session.id);
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::updateIncarnation(Session &session, state::batch::Incarnation incarnation)
+{
+    if (session.updateIncarnation(incarnation)) {
+        assumeLongestLease(session);
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::assumeLongestLease(const Session &session)
+{
+    m_scheduler.leaseExtended(session.id, latestLeaseExpiry(m_times.leaseMax));
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 boost::asio::awaitable<void> Decider<Store, Worker>::pollLoop(std::shared_ptr<Session> session)
 {
@@ -303,7 +321,7 @@
     if (answer.report.incarnation < session.incarnation) {
         co_return;
     }
-    session.updateIncarnation(answer.report.incarnation);
+    updateIncarnation(session, answer.report.incarnation);
     session.clock.update(answer.clock, Clock::now());
     answer.report.askedAt = askedAt;
     for (const auto &end : answer.report.ended) {
@@ -318,8 +336,9 @@
         }
     }
     // From its first answer on, the worker rejects earlier deciders, so that their leases end no later than a new one.
+    // After a restart, an order of this decider may still have extended the lease.
     worker = m_scheduler.workers().find(session.id); // It may have been removed while the poll was open.
-    if (worker != nullptr && !worker->fenced) {
+    if (worker != nullptr && worker->answeredAt == state::Instant{}) {
         m_scheduler.predecessorsFenced(session.id, latestLeaseExpiry(m_times.lease));
     }
     m_scheduler.workerAnswered(session.id, answer.report, now());
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -266,7 +266,7 @@
         session
             = std::make_shared<Session>(m_executor, spec.id, spec.address, m_ports.connect(spec), m_times.clockRateMin);
     }
-    session->updateIncarnation(spec.incarnation);
+    updateIncarnation(*session, spec.incarnation);
     session->wake.cancel();
     if (m_recovered && !session->polling) {
         session->polling = true;
--- a/src/heatherquay/coordination/batch/worker_session.hpp
+++ b/src/heatherquay/coordination/batch/worker_session.hpp
@@ -42,14 +42,18 @@
     bool closed{};
 
     /// Resets the clock and the run end numbers when the worker's incarnation has changed.
-    void updateIncarnation(state::batch::Incarnation now)
+    /// @return whether the worker has restarted
+    bool updateIncarnation(state::batch::Incarnation now)
     {
-        if (incarnation != now) {
-            incarnation = now;
-            processedEnd = 0;
-            confirmedEnd = 0;
-            clock.reset();
+        if (incarnation == now) {
+            return false;
         }
+        const bool restarted = incarnation.value != 0;
+        incarnation = now;
+        processedEnd = 0;
+        confirmedEnd = 0;
+        clock.reset();
+        return restarted;
     }
 };
 
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace heatherquay;
@@ -25,6 +26,8 @@
 /// Id of a worker row that makes its decoder throw.
 constexpr const char *oddWorker = "odd";
 
+constexpr std::chrono::milliseconds longestLease{1'000};
+
 using TestDecider = Decider<test::MemoryStore, test::FakeWorker>;
 
 /// A decider with its own mirror of the store, as in a separate process.
@@ -90,6 +93,7 @@
         times.orderTimeout = 60ms;
         times.recordTimeout = 50ms;
         times.leaseExpiryMargin = 20ms;
+        times.leaseMax = longestLease;
         times.clockRateMin = clockRateMin;
         state::batch::SchedulerSettings settings;
         settings.stopRetry = 50ms;
@@ -519,6 +523,36 @@
     }
 }
 
+// Guards against two concurrent runs: a restarted worker counts the lease in an order to its earlier incarnation on its
+// new clock, and so works for longer than the lease was meant to last.
+BOOST_DATA_TEST_CASE(no_run_starts_elsewhere_within_the_lease_of_a_restarted_worker,
+                     boost::unit_test::data::make({false, true}), registered)
+{
+    for (auto &[id, worker] : workers) {
+        worker->taskDuration = 10s;
+        worker->leaseMax = longestLease;
+    }
+    start();
+    runFor(1'500ms);
+    process->confirmedAt = std::chrono::steady_clock::now();
+    for (auto &[id, worker] : workers) {
+        worker->restart();
+    }
+    submit("a", 1);
+    for (int i = 0; i < 20 && starts().empty(); ++i) {
+        runFor(2ms);
+    }
+    if (registered) {
+        registerWorker("w0");
+        registerWorker("w1");
+        runFor(20ms);
+    }
+    const auto partitioned = partitionBusyWorker();
+    runUntilSecondStart();
+    BOOST_TEST(starts().begin()->second == 2);
+    BOOST_TEST(partitioned->clock().count() > partitioned->leaseUntil().count());
+}
+
 // Guards against runs that continue after their job is cancelled.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped)
 {
--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -25,6 +25,11 @@
     return false;
 }
 
+void FakeWorker::extendLease(WorkerTime until)
+{
+    m_leaseUntil = std::max(m_leaseUntil, std::min(until, clock() + leaseMax));
+}
+
 void FakeWorker::recordEnd(const state::batch::TaskId &task, std::uint32_t run, EndKind kind)
 {
     m_lastEndedRun[task] = std::max(m_lastEndedRun[task], run);
@@ -79,7 +84,7 @@
         co_return answer;
     }
     if (request.leaseUntil) {
-        m_leaseUntil = std::max(m_leaseUntil, *request.leaseUntil);
+        extendLease(*request.leaseUntil);
     }
     confirmedEnd = std::max(confirmedEnd, request.confirmedEnd);
     std::erase_if(m_ended, [&](const state::batch::EndReport &end) {
@@ -122,7 +127,7 @@
         co_return answer;
     }
     const bool late = leaseUntil <= clock();
-    m_leaseUntil = std::max(m_leaseUntil, leaseUntil);
+    extendLease(leaseUntil);
     const auto running = m_runs.find(order.task);
     const auto last = m_lastEndedRun.find(order.task);
     if (late || (last != m_lastEndedRun.end() && last->second >= order.run)) {
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -67,6 +67,7 @@
 
     state::batch::WorkerSpec spec;
     std::chrono::milliseconds taskDuration{100}; ///< Run time of every task.
+    std::chrono::milliseconds leaseMax{10'000}; ///< Longer leases are shortened to this.
     double clockRate{1}; ///< Rate of the worker's clock. Must not change during the test.
     bool unreachable{}; ///< The worker neither executes calls nor responds to them.
     bool dropsResponses{}; ///< The worker executes calls but does not respond to them.
@@ -82,6 +83,7 @@
     /// Remembers the highest token seen.
     /// @return whether @p token is lower than that and the call must be refused
     bool rejectStaleToken(protocol::batch::FencingToken token);
+    void extendLease(protocol::batch::WorkerTime until);
     void recordEnd(const state::batch::TaskId &task, std::uint32_t run, state::batch::EndKind kind);
 
     std::map<state::batch::TaskId, Run> m_runs;
