Count the late result of the latest run of a task

When the lease of a silent worker ended, its runs were given up. A result "done" that the worker reported later counted only if a further run had been started. While the task still waited for a place, the result was confirmed to the worker and then ignored, and the task ran again: a start after an end that was taken note of (rule TWICE).

Change: the result of the latest run counts as well.

Result: batch_scheduler/the_late_result_of_the_latest_run_counts failed before (the task was started again) and passes; batch suite passed.

--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -327,7 +327,7 @@
     }
     for (const EndReport &entry : report.ended) {
         if (entry.kind == EndKind::Done) {
-            handleEarlierDone(entry);
+            handleLateDone(entry);
         }
     }
     for (const auto &[key, entry] : running) {
@@ -433,10 +433,10 @@
     }
 }
 
-void Scheduler::handleEarlierDone(const EndReport &end)
+void Scheduler::handleLateDone(const EndReport &end)
 {
     const RunLocation located = findUnit(end.task);
-    if (located.unit == nullptr || located.unit->done || end.run >= located.unit->run || isFinal(located.job->state)
+    if (located.unit == nullptr || located.unit->done || end.run > located.unit->run || isFinal(located.job->state)
         || stepOf(*located.job, *located.unit).perpetual) {
         return;
     }
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -295,8 +295,8 @@
     /// @return whether the job has ended, has no runs left and has no changes left to record
     static bool isRemovable(const Job &job);
     void closeRun(Job &job, Occurrence &occurrence, Unit &unit, Instant now);
-    /// Accepts the result of an earlier run, whose worker was silent until a later run was started: the work is done.
-    void handleEarlierDone(const EndReport &end);
+    /// Accepts the result of a run that was given up while its worker was silent: the work is done.
+    void handleLateDone(const EndReport &end);
     void finishUnit(Job &job, Occurrence &occurrence, Unit &unit);
     void endJob(Job &job, JobState state);
     /// Fails the job when the unit has no attempts left.
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -921,6 +921,31 @@
     BOOST_TEST(recorded);
 }
 
+// Guards against running work again that is done: the run was given up, and the task still waits for a place.
+BOOST_AUTO_TEST_CASE(the_late_result_of_the_latest_run_counts)
+{
+    state::Instant now{state::Duration(1'000'000)};
+    Scheduler scheduler;
+    scheduler.setQueues({{"batch", {"service", 1, 2, 3.0, state::Duration(1'000)}}});
+    scheduler.registerWorker(makeWorker("w0"), now, now + 1s);
+    scheduler.workerAnswered({"w0"}, {makeWorker("w0").incarnation, now, {}, {}}, now);
+    scheduler.submit(makeJob("a", 1, smallTask, 1s), now);
+    const auto starts = scheduler.decide(now, now).starts;
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_REQUIRE(scheduler.beginStart(starts[0].task, 1));
+    scheduler.startAnswered(starts[0].task, 1, StartOutcome::Started, now);
+    scheduler.workerUnreachable({"w0"});
+    now += 5s;
+    BOOST_TEST(scheduler.decide(now, now).starts.empty());
+    now += 10ms;
+    scheduler.workerAnswered({"w0"}, {starts[0].incarnation, now, {}, {{1, starts[0].task, 1, EndKind::Done, ""}}},
+                             now);
+    const Decision decision = scheduler.decide(now, now);
+    BOOST_TEST(decision.starts.empty());
+    BOOST_REQUIRE(decision.statuses.size() == 1U);
+    BOOST_TEST((decision.statuses.front().state == JobState::Completed));
+}
+
 // Guards against an extra attempt when the predecessor recorded the last failure but not the end of the job.
 BOOST_AUTO_TEST_CASE(a_successor_fails_a_job_without_attempts_left)
 {
