Open the due occurrences of a job in portions

Leaders were busy for seconds and lost the term, or exceeded their memory.

Cause: each pass opened all due occurrences of a job and kept them, also finished ones, until the job ended; all passes go over all open occurrences. Each occurrence left a row of progress that every successor reads before it decides anything.

Change: at most 256 occurrences and 4,096 tasks of a recurring job are open at a time. Finished occurrences leave the memory once recorded. A row with the position in the schedule replaces the rows of every 16 finished ones, which are removed after it is stored; a successor ignores and removes those left. Due times beyond the clock's range no longer overflow. Work and memory of a pass, and the rows that a successor reads, are thus bounded per job, whatever it declares.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -141,6 +141,10 @@
     /// Runs one scheduling pass and stores its records.
     /// @return whether the records were stored
     boost::asio::awaitable<bool> pass();
+    /// Adds the rows of finished occurrences, which a stored record of the schedule has replaced, to m_replacedRows.
+    void noteReplacedRows(const state::batch::ScheduleChange &change);
+    /// Removes some of the replaced rows.
+    boost::asio::awaitable<void> removeReplacedRows();
     /// Removes the rows of jobs whose retention is over.
     boost::asio::awaitable<void> purgeEndedJobs();
     boost::asio::awaitable<void> pollLoop(std::shared_ptr<Session> session);
@@ -213,6 +217,7 @@
     std::map<state::WorkerId, std::shared_ptr<Session>> m_sessions;
     std::map<state::JobId, state::batch::JobSpec> m_jobsBeforeRecovery; ///< Admitted after recovery.
     std::map<state::JobId, state::Instant> m_endedAt; ///< Ended jobs that are not purged yet.
+    std::vector<protocol::batch::RowKey> m_replacedRows; ///< Of finished occurrences; no longer read.
     std::vector<state::batch::StartOrder> m_pendingStarts; ///< Sent to the workers once their records are stored.
     state::Instant m_termStartedAt;
     std::chrono::milliseconds m_passDuration{}; ///< How long the latest decision took.
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -326,6 +326,10 @@
     const state::Instant leaseUntil
         = m_termStartedAt + (latestLeaseExpiry(m_times.authorityTimeout + m_times.lease) - now());
     const auto records = progress.records();
+    for (const auto &schedule : progress.schedules()) {
+        m_scheduler.restore(schedule);
+    }
+    m_replacedRows = progress.replacedRows();
     for (const auto &record : records) {
         m_scheduler.restore(record, now(), leaseUntil);
     }
@@ -358,7 +362,9 @@
     }
     while (!m_stopped) {
         const bool stored = co_await pass();
-        if (!stored) {
+        if (stored) {
+            co_await removeReplacedRows();
+        } else {
             co_await protocol::waitFor(m_times.passIntervalMax);
         }
         // Passes take at most a third of the time, so that heartbeats and answers are handled in between.
@@ -411,6 +417,9 @@
     for (const auto &status : decision.statuses) {
         rows.push_back({statusRow(status.job), protocol::batch::encodeStatus(status)});
     }
+    for (const auto &change : decision.schedules) {
+        rows.push_back({scheduleRow(change.record.job), protocol::batch::encodeSchedule(change.record)});
+    }
     if (!rows.empty() && now() >= m_learnedSavedAt + m_times.learnedSaveInterval) {
         m_learnedSavedAt = now();
         rows.push_back({learnedRow(), protocol::batch::encodeLearned(m_scheduler.learned())});
@@ -428,6 +437,9 @@
         m_scheduler.recordAgain(decision);
         co_return false;
     }
+    for (const auto &change : decision.schedules) {
+        noteReplacedRows(change);
+    }
     for (const auto &status : decision.statuses) {
         if (state::batch::isFinal(status.state)) {
             m_endedAt[status.job] = now();
@@ -497,6 +509,33 @@
     }
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::noteReplacedRows(const state::batch::ScheduleChange &change)
+{
+    for (std::uint32_t number = change.discardedFrom; number < change.record.finishedBefore; ++number) {
+        for (std::uint32_t block = 0; block < change.blocks; ++block) {
+            auto key = progressRow(change.record.job, number, block);
+            if (m_writer.isKnown(key)) {
+                m_replacedRows.push_back(std::move(key));
+            }
+        }
+    }
+}
+
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::removeReplacedRows()
+{
+    const std::size_t count = std::min(m_replacedRows.size(), RecordWriter<Store>::rowsPerTransactionMax);
+    if (count == 0 || m_stopped) {
+        co_return;
+    }
+    const auto first = m_replacedRows.end() - static_cast<std::ptrdiff_t>(count);
+    const std::vector<protocol::batch::RowKey> rows(first, m_replacedRows.end());
+    if (co_await m_writer.remove(rows, true)) {
+        m_replacedRows.resize(m_replacedRows.size() - count);
+    }
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 boost::asio::awaitable<void> Decider<Store, Worker>::purgeEndedJobs()
 {
--- a/src/heatherquay/coordination/batch/layout.hpp
+++ b/src/heatherquay/coordination/batch/layout.hpp
@@ -27,6 +27,7 @@
 constexpr const char *termKey = "!term";
 constexpr const char *heartbeatKey = "!pulse";
 
+constexpr const char *scheduleSuffix = ".schedule"; ///< Of a key in the progress table.
 constexpr const char *learnedKey = "!learned"; ///< In the progress table.
 
 /// @return the key of the row with the rank of the process on a VM
@@ -60,4 +61,10 @@
     return {progressTable, deciderPart, job.value + "." + std::to_string(occurrence) + "." + std::to_string(block)};
 }
 
+/// @return the key of the row with the job's position in its schedule
+inline protocol::batch::RowKey scheduleRow(const state::JobId &job)
+{
+    return {progressTable, deciderPart, job.value + scheduleSuffix};
+}
+
 } // namespace heatherquay::coordination::batch
--- a/src/heatherquay/coordination/batch/progress_reader.cpp
+++ b/src/heatherquay/coordination/batch/progress_reader.cpp
@@ -1,5 +1,6 @@
 #include "heatherquay/coordination/batch/progress_reader.hpp"
 
+#include "heatherquay/coordination/batch/layout.hpp"
 #include "heatherquay/protocol/batch/record_codec.hpp"
 
 #include <charconv>
@@ -25,7 +26,13 @@
 
 void ProgressReader::add(const protocol::batch::StoredRow &row)
 {
+    if (row.key.key.ends_with(scheduleSuffix)) {
+        const state::batch::ScheduleRecord schedule = protocol::batch::decodeSchedule(row.value);
+        m_schedules[schedule.job] = schedule;
+        return;
+    }
     state::batch::OccurrenceRecord record = protocol::batch::decodeOccurrence(row.value);
+    m_rows.insert({{record.job, record.occurrence}, row.key});
     const std::uint32_t block = detail::blockOf(row.key.key);
     for (state::batch::UnitRecord &unit : record.units) {
         NewestUnit &newest = m_units[{record.job, record.occurrence, unit.step, unit.first}];
@@ -40,6 +47,9 @@
     std::map<std::tuple<state::JobId, std::uint32_t, std::uint32_t>, state::batch::OccurrenceRecord> byRow;
     for (const auto &[key, newest] : m_units) {
         const auto &[job, occurrence, step, first] = key;
+        if (isReplaced(job, occurrence)) {
+            continue;
+        }
         state::batch::OccurrenceRecord &record = byRow[{job, occurrence, newest.block}];
         record.job = job;
         record.occurrence = occurrence;
@@ -54,4 +64,30 @@
     return records;
 }
 
+std::vector<state::batch::ScheduleRecord> ProgressReader::schedules() const
+{
+    std::vector<state::batch::ScheduleRecord> schedules;
+    for (const auto &[job, record] : m_schedules) {
+        schedules.push_back(record);
+    }
+    return schedules;
+}
+
+std::vector<protocol::batch::RowKey> ProgressReader::replacedRows() const
+{
+    std::vector<protocol::batch::RowKey> rows;
+    for (const auto &[where, key] : m_rows) {
+        if (isReplaced(where.first, where.second)) {
+            rows.push_back(key);
+        }
+    }
+    return rows;
+}
+
+bool ProgressReader::isReplaced(const state::JobId &job, std::uint32_t occurrence) const
+{
+    const auto schedule = m_schedules.find(job);
+    return schedule != m_schedules.end() && occurrence < schedule->second.finishedBefore;
+}
+
 } // namespace heatherquay::coordination::batch
--- a/src/heatherquay/coordination/batch/record_writer.hpp
+++ b/src/heatherquay/coordination/batch/record_writer.hpp
@@ -49,6 +49,12 @@
         m_versions[key] = version;
     }
 
+    /// @return whether the store has the row, as far as this process knows
+    bool isKnown(const protocol::batch::RowKey &key) const
+    {
+        return m_versions.contains(key);
+    }
+
     /// Stores all rows, in as many transactions as the store's limits require.
     boost::asio::awaitable<WriteOutcome> write(std::vector<protocol::batch::RowPut> rows)
     {
--- a/src/heatherquay/protocol/batch/record_codec.cpp
+++ b/src/heatherquay/protocol/batch/record_codec.cpp
@@ -107,6 +107,13 @@
     archive("units", value.units);
 }
 
+template<typename Archive>
+void fields(Archive &archive, typename Archive::template Ref<ScheduleRecord> value)
+{
+    archive("job", value.job);
+    archive("finishedBefore", value.finishedBefore);
+}
+
 template<typename Archive>
 void fields(Archive &archive, typename Archive::template Ref<WorkerSpeed> value)
 {
@@ -187,6 +194,16 @@
     return detail::decode<state::batch::OccurrenceRecord>(text, "occurrence");
 }
 
+std::string encodeSchedule(const state::batch::ScheduleRecord &record)
+{
+    return detail::encode(record);
+}
+
+state::batch::ScheduleRecord decodeSchedule(const std::string &text)
+{
+    return detail::decode<state::batch::ScheduleRecord>(text, "schedule");
+}
+
 std::string encodeLearned(const state::batch::LearnedRecord &learned)
 {
     return detail::encode(learned);
--- a/src/heatherquay/protocol/batch/record_codec.hpp
+++ b/src/heatherquay/protocol/batch/record_codec.hpp
@@ -18,6 +18,11 @@
 /// @throws Error(BadInput) when @p text is not an encoded record
 state::batch::OccurrenceRecord decodeOccurrence(const std::string &text);
 
+/// @return the position in a job's schedule as JSON text for a row
+std::string encodeSchedule(const state::batch::ScheduleRecord &record);
+/// @throws Error(BadInput) when @p text is not an encoded record
+state::batch::ScheduleRecord decodeSchedule(const std::string &text);
+
 /// @return the status as JSON text, without the job id, which is the key of the row
 std::string encodeStatus(const state::batch::JobStatus &status);
 /// @throws Error(BadInput) when @p text is not an encoded status
--- a/src/heatherquay/state/batch/job.cpp
+++ b/src/heatherquay/state/batch/job.cpp
@@ -1,5 +1,6 @@
 #include "heatherquay/state/batch/job.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <string_view>
@@ -14,6 +15,25 @@
         + coresPerAccelerator * static_cast<double>(need.accelerators);
 }
 
+Instant dueTime(const JobSpec &job, std::uint32_t occurrence)
+{
+    if (job.repetitions == 0) {
+        return job.acceptedAt;
+    }
+    const Duration left = Instant::max() - std::max(job.firstRun, Instant{});
+    const bool representable = job.interval.count() == 0 || occurrence <= left / job.interval;
+    return representable ? job.firstRun + job.interval * occurrence : Instant::max();
+}
+
+std::uint64_t taskCount(const JobSpec &job)
+{
+    std::uint64_t count = 0;
+    for (const StepSpec &step : job.steps) {
+        count += step.taskCount;
+    }
+    return count;
+}
+
 std::string toString(const StepId &step)
 {
     return step.job.value + "." + std::to_string(step.occurrence) + "." + std::to_string(step.step);
--- a/src/heatherquay/state/batch/job.hpp
+++ b/src/heatherquay/state/batch/job.hpp
@@ -99,6 +99,11 @@
     Duration interval{};
 };
 
+/// @return the wall time at which an occurrence is due; the latest representable time when it lies beyond
+Instant dueTime(const JobSpec &job, std::uint32_t occurrence);
+/// @return the number of tasks of one occurrence
+std::uint64_t taskCount(const JobSpec &job);
+
 /// Number of accelerators that a team's priority-0 jobs can obtain at any time.
 struct TeamGuarantee
 {
--- a/src/heatherquay/state/batch/progress.hpp
+++ b/src/heatherquay/state/batch/progress.hpp
@@ -47,6 +47,13 @@
     std::vector<UnitRecord> units;
 };
 
+/// Position of a recurring job in its schedule.
+struct ScheduleRecord
+{
+    JobId job;
+    std::uint32_t finishedBefore{}; ///< All occurrences below this number have finished; their records are not kept.
+};
+
 /// Learned speed of a worker.
 struct WorkerSpeed
 {
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -107,6 +107,22 @@
     return occurrence;
 }
 
+void Scheduler::restore(const ScheduleRecord &record)
+{
+    const auto found = m_jobs.find(record.job);
+    if (found == m_jobs.end() || record.finishedBefore >= found->second.spec.repetitions) {
+        return; // The last occurrences of a job are kept, so that a higher number comes from a damaged record.
+    }
+    Job &job = found->second;
+    job.finishedBefore = record.finishedBefore;
+    job.recordedFinishedBefore = record.finishedBefore;
+    job.occurrencesFinished = record.finishedBefore;
+    job.occurrencesOpened = record.finishedBefore;
+    if (job.state == JobState::Queued && record.finishedBefore > 0) {
+        job.state = JobState::Running;
+    }
+}
+
 void Scheduler::restore(const OccurrenceRecord &record, Instant now, Instant leaseUntil)
 {
     const auto found = m_jobs.find(record.job);
@@ -114,9 +130,10 @@
         return;
     }
     Job &job = found->second;
-    const Instant dueAt
-        = job.spec.repetitions == 0 ? job.spec.acceptedAt : job.spec.firstRun + job.spec.interval * record.occurrence;
-    Occurrence &occurrence = openOccurrence(job, record.occurrence, dueAt, now);
+    if (record.occurrence < job.finishedBefore || record.occurrence >= std::max(job.spec.repetitions, 1U)) {
+        return;
+    }
+    Occurrence &occurrence = openOccurrence(job, record.occurrence, dueTime(job.spec, record.occurrence), now);
     bool allInBlock = true;
     for (const UnitRecord &recorded : record.units) {
         const std::uint32_t index = unitIndex(job, recorded.step, recorded.first);
@@ -645,6 +662,11 @@
             }
         }
     }
+    for (const ScheduleChange &change : lost.schedules) {
+        if (const auto job = m_jobs.find(change.record.job); job != m_jobs.end()) {
+            job->second.recordedFinishedBefore = std::min(job->second.recordedFinishedBefore, change.discardedFrom);
+        }
+    }
     for (const JobStatus &status : lost.statuses) {
         if (const auto job = m_jobs.find(status.job); job != m_jobs.end()) {
             job->second.statusChanged = true;
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -56,6 +56,12 @@
     /// Tasks in one record. A change rewrites the record of its block, so that smaller blocks save bytes; each record
     /// costs two entries of a transaction.
     std::uint32_t tasksPerRecord{16};
+    /// Bounds on the occurrences of one recurring job that are open at the same time: by number, and by their tasks. A
+    /// backlog of due occurrences is worked off in portions of this size.
+    std::uint32_t openOccurrencesMax{256};
+    std::uint64_t openTasksMax{4'096};
+    /// Finished occurrences of a job whose records are removed together, in exchange for one record of the schedule.
+    std::uint32_t occurrencesPerScheduleRecord{16};
     /// Time from the start of a gang's first member in which the others must start. A gang that is still incomplete is
     /// stopped as a whole, before the workers end the members one by one.
     Duration gangStartTime{1'800};
@@ -110,11 +116,20 @@
     std::vector<WorkerId> workers;
 };
 
+/// A new position in the schedule of a recurring job.
+struct ScheduleChange
+{
+    ScheduleRecord record;
+    std::uint32_t discardedFrom{}; ///< First occurrence whose records can be removed once this record is stored.
+    std::uint32_t blocks{}; ///< Number of blocks of an occurrence.
+};
+
 /// Result of one scheduling pass.
 struct Decision
 {
     std::vector<OccurrenceRecord> records; ///< Must be stored before starts are sent and ends are confirmed.
     std::vector<JobStatus> statuses; ///< Must be stored together with the records.
+    std::vector<ScheduleChange> schedules; ///< Must be stored before the records that they replace are removed.
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops; ///< May be sent without storing a record first.
     std::vector<AdviceOrder> advice; ///< In order of urgency, most urgent first.
@@ -144,6 +159,8 @@
     /// Adds an accepted job. Ignores jobs that are already known.
     void submit(const JobSpec &job, Instant now);
     void cancel(const JobId &job);
+    /// Restores the position in the schedule of a submitted job. Must be called before the job's records are restored.
+    void restore(const ScheduleRecord &record);
     /// Restores the state of a submitted job that a predecessor recorded.
     /// @param leaseUntil when all recorded runs on workers that do not answer have ended
     void restore(const OccurrenceRecord &record, Instant now, Instant leaseUntil);
@@ -283,6 +300,12 @@
     Occurrence &openOccurrence(Job &job, std::uint32_t number, Instant dueAt, Instant now);
 
     void openDueOccurrences(Instant now, Instant wall);
+    /// @return how many occurrences of the job may be open at the same time
+    std::uint32_t openOccurrencesMax(const JobSpec &job) const;
+    /// Removes the first occurrences of a recurring job from memory while they have finished and are recorded.
+    void removeFinishedOccurrences(Job &job);
+    /// Adds a record of the schedule to the decision when it replaces enough records of occurrences.
+    void collectSchedule(Job &job, Decision &decision) const;
     void releaseExpiredRuns(Instant now);
     /// Restarts the time without progress of every run.
     void restartHangDetection(Instant now);
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -18,8 +18,9 @@
         if (isFinal(job.state)) {
             continue;
         }
-        while (job.occurrencesOpened < job.spec.repetitions) {
-            const Instant dueAt = job.spec.firstRun + job.spec.interval * job.occurrencesOpened;
+        const std::uint32_t openMax = openOccurrencesMax(job.spec);
+        while (job.occurrencesOpened < job.spec.repetitions && job.occurrencesOpened - job.finishedBefore < openMax) {
+            const Instant dueAt = dueTime(job.spec, job.occurrencesOpened);
             if (dueAt > wall) {
                 break;
             }
@@ -29,6 +30,41 @@
     }
 }
 
+std::uint32_t Scheduler::openOccurrencesMax(const JobSpec &job) const
+{
+    const std::uint64_t byTasks = m_settings.openTasksMax / std::max<std::uint64_t>(taskCount(job), 1);
+    return static_cast<std::uint32_t>(std::clamp<std::uint64_t>(byTasks, 1, m_settings.openOccurrencesMax));
+}
+
+void Scheduler::removeFinishedOccurrences(Job &job)
+{
+    while (!job.occurrences.empty()) {
+        const auto &[number, occurrence] = *job.occurrences.begin();
+        // A finished occurrence is recorded when a pass has gone by without recordAgain(), see collectRecords().
+        const bool recorded = occurrence.finished && !occurrence.changed;
+        const bool idle = std::all_of(occurrence.units.begin(), occurrence.units.end(), [](const Unit &unit) {
+            return unit.members.empty();
+        });
+        if (number != job.finishedBefore || !recorded || !idle) {
+            break;
+        }
+        m_advice.erase(m_advice.lower_bound({job.spec.id, number, 0}),
+                       m_advice.upper_bound({job.spec.id, number, ~0U}));
+        job.occurrences.erase(job.occurrences.begin());
+        ++job.finishedBefore;
+    }
+}
+
+void Scheduler::collectSchedule(Job &job, Decision &decision) const
+{
+    if (job.finishedBefore < job.recordedFinishedBefore + m_settings.occurrencesPerScheduleRecord) {
+        return;
+    }
+    const auto blocks = static_cast<std::uint32_t>(taskCount(job.spec) / std::max(m_settings.tasksPerRecord, 1U)) + 1;
+    decision.schedules.push_back({{job.spec.id, job.finishedBefore}, job.recordedFinishedBefore, blocks});
+    job.recordedFinishedBefore = job.finishedBefore;
+}
+
 void Scheduler::releaseExpiredRuns(Instant now)
 {
     for (auto &[id, worker] : m_pool.all()) {
@@ -362,6 +398,10 @@
             position = m_jobs.erase(position);
             continue;
         }
+        if (job.spec.repetitions > 0 && !isFinal(job.state)) {
+            removeFinishedOccurrences(job);
+            collectSchedule(job, decision);
+        }
         for (auto &[number, occurrence] : job.occurrences) {
             if (!occurrence.changed) {
                 continue;
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -104,9 +104,13 @@
     JobState state{JobState::Queued};
     bool statusChanged{};
     bool cancelWanted{};
-    std::map<std::uint32_t, Occurrence> occurrences; ///< Occurrences that have become due, by number.
+    /// Occurrences that have become due, by number. A limited number is open at a time; the others follow as these
+    /// finish.
+    std::map<std::uint32_t, Occurrence> occurrences;
     std::uint32_t occurrencesFinished{};
     std::uint32_t occurrencesOpened{};
+    std::uint32_t finishedBefore{}; ///< Occurrences below this number have finished and were removed.
+    std::uint32_t recordedFinishedBefore{}; ///< The value that the latest record of the schedule holds.
 };
 
 } // namespace heatherquay::state::batch
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -5,6 +5,7 @@
 #include "heatherquay/coordination/batch/decider.hpp"
 #include "heatherquay/coordination/batch/term.hpp"
 #include "heatherquay/error.hpp"
+#include "heatherquay/protocol/batch/record_codec.hpp"
 
 #include <map>
 #include <memory>
@@ -553,6 +554,48 @@
     BOOST_TEST(partitioned->clock().count() > partitioned->leaseUntil().count());
 }
 
+// Guards against a table of progress, and a recovery, that grow with the number of occurrences that a job has had.
+BOOST_AUTO_TEST_CASE(the_rows_of_finished_occurrences_are_removed)
+{
+    constexpr std::uint32_t repetitions = 120;
+    for (auto &[id, worker] : workers) {
+        worker->taskDuration = 20ms;
+    }
+    start();
+    runFor(30ms);
+    auto job = test::makeJob("a", 1, {16'000, 1'000, 1}, 20ms);
+    job.policy = {"service", 1, 3, 3.0, 1'000ms};
+    job.repetitions = repetitions;
+    job.firstRun = state::Instant(1s);
+    job.interval = 1ms;
+    store.put(jobRow({"a"}), protocol::batch::encodeJob(job));
+    store.put(intakeRow({"a"}), encodeIntake({"batch", false}));
+    const auto storedOccurrences = [this] {
+        std::uint32_t stored = 0;
+        for (std::uint32_t occurrence = 0; occurrence < repetitions; ++occurrence) {
+            stored += store.value(progressRow({"a"}, occurrence, 0)).empty() ? 0 : 1;
+        }
+        return stored;
+    };
+    for (int i = 0; i < 20 && starts().size() < 60; ++i) {
+        process->confirmedAt = std::chrono::steady_clock::now();
+        runFor(50ms);
+    }
+    process->kill();
+    successor = std::make_unique<DeciderProcess>(context, store, workers, 2);
+    for (int i = 0; i < 40 && !completed("a"); ++i) {
+        successor->confirmedAt = std::chrono::steady_clock::now();
+        runFor(50ms);
+    }
+    runFor(50ms);
+    BOOST_TEST(completed("a"));
+    BOOST_TEST(starts().size() == repetitions);
+    for (const auto &[task, count] : starts()) {
+        BOOST_TEST(count == 1, task);
+    }
+    BOOST_TEST(storedOccurrences() < 40U);
+}
+
 // Guards against runs that continue after their job is cancelled.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped)
 {
--- a/tests/batch/pool_simulation.cpp
+++ b/tests/batch/pool_simulation.cpp
@@ -141,12 +141,19 @@
     advanceRuns();
     sendReports();
     const auto begunAt = std::chrono::steady_clock::now();
-    const Decision decision = m_scheduler->decide(m_now, m_now);
+    latest = m_scheduler->decide(m_now, m_now);
+    const Decision &decision = latest;
     decisionTimes.push_back(
         std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begunAt).count());
     for (const OccurrenceRecord &record : decision.records) {
         m_records[{record.job, record.occurrence, record.block}] = record;
     }
+    for (const ScheduleChange &change : decision.schedules) {
+        const JobId &job = change.record.job;
+        m_schedules[job] = change.record;
+        m_records.erase(m_records.lower_bound({job, change.discardedFrom, 0}),
+                        m_records.lower_bound({job, change.record.finishedBefore, 0}));
+    }
     for (const JobStatus &status : decision.statuses) {
         m_states[status.job] = status.state;
         if (isFinal(status.state)) {
@@ -410,6 +417,9 @@
             }
         }
     }
+    for (const auto &[job, record] : m_schedules) {
+        m_scheduler->restore(record);
+    }
     for (const auto &[key, record] : m_records) {
         m_scheduler->restore(record, m_now, leaseUntil);
     }
--- a/tests/batch/pool_simulation.hpp
+++ b/tests/batch/pool_simulation.hpp
@@ -76,6 +76,11 @@
     {
         return m_runs.size();
     }
+    /// @return the number of stored records of occurrences
+    std::size_t records() const
+    {
+        return m_records.size();
+    }
     state::batch::Scheduler &scheduler()
     {
         return *m_scheduler;
@@ -98,6 +103,7 @@
     /// Returns whether the answer to a start order is lost.
     std::function<bool(const state::batch::StartOrder &)> answerLost;
     std::set<state::WorkerId> advised; ///< Workers that the placement advice approves.
+    state::batch::Decision latest; ///< Of the latest pass.
     std::vector<double> decisionTimes; ///< Of each decision in milliseconds, on the machine's clock.
     std::vector<std::string> violations; ///< Descriptions of violated rules.
 
@@ -125,6 +131,7 @@
     std::map<state::JobId, state::batch::JobState> m_states;
     std::map<state::JobId, state::Instant> m_ends;
     std::map<std::tuple<state::JobId, std::uint32_t, std::uint32_t>, state::batch::OccurrenceRecord> m_records;
+    std::map<state::JobId, state::batch::ScheduleRecord> m_schedules;
     std::map<TaskId, std::uint32_t> m_starts;
     std::set<TaskId> m_done;
     std::set<state::JobId> m_cancelled;
--- a/tests/batch/progress_reader_test.cpp
+++ b/tests/batch/progress_reader_test.cpp
@@ -50,6 +50,26 @@
     BOOST_TEST(records[1].units[0].run == 3U);
 }
 
+// Guards against occurrences that run again, because their rows were not removed before the decider ended.
+BOOST_AUTO_TEST_CASE(rows_that_a_schedule_replaces_are_left_out)
+{
+    ProgressReader reader;
+    for (std::uint32_t occurrence = 0; occurrence < 4; ++occurrence) {
+        OccurrenceRecord record;
+        record.job.value = "a";
+        record.occurrence = occurrence;
+        record.units.push_back(unitAt(0, 1));
+        reader.add(
+            {progressRow({"a"}, occurrence, 0), protocol::batch::encodeOccurrence(record), occurrence + 1, false});
+    }
+    reader.add({scheduleRow({"a"}), protocol::batch::encodeSchedule({{"a"}, 3}), 9, false});
+    BOOST_REQUIRE(reader.schedules().size() == 1U);
+    BOOST_TEST(reader.schedules().front().finishedBefore == 3U);
+    BOOST_REQUIRE(reader.records().size() == 1U);
+    BOOST_TEST(reader.records().front().occurrence == 3U);
+    BOOST_TEST(reader.replacedRows().size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_row_that_cannot_be_decoded_is_reported)
 {
     ProgressReader reader;
