Release no run because of an incomplete list of ends

Cause: a worker reports at most 500 ends at a time, and further ones once these are confirmed, which needs the store. The decider took a run that was neither running nor among the reported ends for one that the worker does not know, and started its task elsewhere, also when the list of ends was full.

The emulated worker limits its answers as the protocol says.

--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -333,7 +333,8 @@
             running.erase(alive);
             continue;
         }
-        const bool settled = member.phase == RunPhase::Running || member.stopAnswered;
+        // An end that is not reported yet follows once the reported ones are confirmed.
+        const bool settled = report.endsComplete && (member.phase == RunPhase::Running || member.stopAnswered);
         // Timestamps have millisecond resolution: a poll sent in the same millisecond may have overtaken the order.
         if (settled && report.askedAt > member.orderAnsweredAt) {
             // The worker does not know the run: the start never took effect, or a predecessor confirmed the run's end.
--- a/src/heatherquay/state/batch/worker.hpp
+++ b/src/heatherquay/state/batch/worker.hpp
@@ -65,6 +65,7 @@
     Instant askedAt; ///< When the poll was sent.
     std::vector<RunningReport> running;
     std::vector<EndReport> ended;
+    bool endsComplete{true}; ///< False when the worker may have more ends than it reports at a time.
 };
 
 } // namespace heatherquay::state::batch
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -596,6 +596,31 @@
     BOOST_TEST(storedOccurrences() < 40U);
 }
 
+// Guards against running work again that is done: a worker reports a limited number of ends at a time, and the others
+// follow only after these are confirmed.
+BOOST_AUTO_TEST_CASE(ends_beyond_the_first_answer_are_not_taken_for_lost_runs)
+{
+    for (auto &[id, worker] : workers) {
+        worker->taskDuration = 100ms;
+        worker->endsPerAnswer = 3;
+    }
+    start();
+    submit("a", 16);
+    runFor(60ms);
+    store.down = true;
+    runFor(250ms);
+    store.down = false;
+    process->confirmedAt = std::chrono::steady_clock::now();
+    for (int i = 0; i < 10 && !completed("a"); ++i) {
+        runFor(100ms);
+    }
+    BOOST_TEST(completed("a"));
+    BOOST_TEST(starts().size() == 16U);
+    for (const auto &[task, count] : starts()) {
+        BOOST_TEST(count == 1, task);
+    }
+}
+
 // Guards against runs that continue after their job is cancelled.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped)
 {
--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -104,7 +104,9 @@
     answer.failure.clear();
     answer.clock = clock();
     answer.report.incarnation = spec.incarnation;
-    answer.report.ended = m_ended;
+    const std::size_t ends = std::min(m_ended.size(), endsPerAnswer);
+    answer.report.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(ends));
+    answer.report.endsComplete = ends < endsPerAnswer;
     for (const auto &[task, run] : m_runs) {
         answer.report.running.push_back({task, run.number, "", 50});
     }
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -68,6 +68,7 @@
     state::batch::WorkerSpec spec;
     std::chrono::milliseconds taskDuration{100}; ///< Run time of every task.
     std::chrono::milliseconds leaseMax{10'000}; ///< Longer leases are shortened to this.
+    std::size_t endsPerAnswer{500}; ///< Largest number of ends in one answer.
     double clockRate{1}; ///< Rate of the worker's clock. Must not change during the test.
     bool unreachable{}; ///< The worker neither executes calls nor responds to them.
     bool dropsResponses{}; ///< The worker executes calls but does not respond to them.
--- /dev/null
+++ b/tests/platform/worker_client_test.cpp
@@ -0,0 +1,77 @@
+#include "emulator/platform_emulator.hpp"
+#include "platform/wire_json.hpp"
+#include "platform/worker_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace heatherquay;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr protocol::batch::FencingToken token{1};
+
+/// A worker client in the test's thread that talks to a worker in the emulator's thread.
+struct WorkerClientFixture
+{
+    WorkerClientFixture()
+        : emulator(1, 0ms)
+        , client(context.get_executor(), workerOf(emulator), 1)
+    {
+    }
+
+    static state::batch::WorkerSpec workerOf(test::PlatformEmulator &emulator)
+    {
+        const std::string entry = emulator.runOnEmulatorThread([](test::PlatformEmulator &self) {
+            return self.store().value({"servers", "", "i-0"});
+        });
+        state::batch::WorkerSpec worker;
+        worker.id.value = "i-0";
+        worker.address = platform::stringOr(platform::parseJson(entry), "address");
+        return worker;
+    }
+
+    template<typename Answer>
+    Answer wait(boost::asio::awaitable<Answer> call)
+    {
+        auto answer = boost::asio::co_spawn(context, std::move(call), boost::asio::use_future);
+        context.run();
+        context.restart();
+        return answer.get();
+    }
+
+    protocol::batch::PollAnswer poll(std::uint64_t confirmedEnd)
+    {
+        return wait(client.poll({token, confirmedEnd, std::nullopt, 0ms}, 2s));
+    }
+
+    boost::asio::io_context context;
+    test::PlatformEmulator emulator;
+    platform::WorkerClient client;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(platform_worker_client, WorkerClientFixture)
+
+// Guards against runs that are taken for lost, because a worker reports no more than 500 ends at a time.
+BOOST_AUTO_TEST_CASE(a_full_list_of_ends_is_reported_as_incomplete)
+{
+    constexpr std::uint32_t tasks = 501;
+    for (std::uint32_t index = 0; index < tasks; ++index) {
+        const state::batch::StartOrder order{{{"5c0e7a21d94b36f8"}, 0, 0, index}, 1, {"i-0"}, {}, "payload"};
+        const auto answer = wait(client.start(order, token, 1h, 2s));
+        BOOST_REQUIRE((answer.status == protocol::batch::CallStatus::Answered));
+    }
+    const auto first = poll(0);
+    BOOST_TEST(first.report.ended.size() == 500U);
+    BOOST_TEST(!first.report.endsComplete);
+    const auto second = poll(500);
+    BOOST_TEST(second.report.ended.size() == 1U);
+    BOOST_TEST(second.report.endsComplete);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
