Judge a stalled run by the pace and length of its task

Cause: a run counted as hung after at most 5 s without a change of its percentage, which is a whole number: one percent of an hour takes 36 s. Each stop counted as a failure of the worker.

Change: the limit is ten percents at the pace of the run or of its step; before any progress it is 0.45 of the plausible length, which allows for estimates that are wrong tenfold or missing. The limits of short tasks stay. A stop counts against the worker only when the pace is known or another step has stalled there.

--- a/src/heatherquay/state/batch/run_estimates.cpp
+++ b/src/heatherquay/state/batch/run_estimates.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr std::uint32_t learnedRunsMin = 3; // With fewer runs, the declared time is as accurate.
+constexpr int estimateErrorMax = 10; // Estimates may be wrong by this factor.
+// A tenth of half a day, the longest task designed for, because the users of this value allow for estimateErrorMax.
+constexpr Duration unknownLength = std::chrono::hours(12) / estimateErrorMax;
 constexpr double newestRunWeight = 0.1; // Weight of the newest run after the first ten, which are averaged equally.
 
 } // namespace detail
@@ -30,6 +33,20 @@
     return std::max(Duration(1), step.estimate);
 }
 
+Duration RunEstimates::plausibleLength(const std::string &queue, const StepSpec &step) const
+{
+    const auto found = m_queues.find(queue);
+    if (found == m_queues.end() || found->second.runs < detail::learnedRunsMin) {
+        return step.estimate.count() > 0 ? step.estimate : detail::unknownLength;
+    }
+    const Duration learned(static_cast<Duration::rep>(found->second.meanMilliseconds));
+    // A task of which only the queue is known may be as far from the queue's mean as an estimate from its task.
+    if (step.estimate.count() == 0 || step.estimate > learned * detail::estimateErrorMax) {
+        return std::max(step.estimate, learned * detail::estimateErrorMax);
+    }
+    return learned;
+}
+
 std::vector<QueueEstimate> RunEstimates::estimates() const
 {
     std::vector<QueueEstimate> result;
--- a/src/heatherquay/state/batch/run_estimates.hpp
+++ b/src/heatherquay/state/batch/run_estimates.hpp
@@ -16,6 +16,9 @@
     void addRun(const std::string &queue, Duration runTime);
     /// @return the expected run time of a task of @p step, at least 1 ms
     Duration expected(const std::string &queue, const StepSpec &step) const;
+    /// @return a length that a task of @p step may well have; unlike expected(), never a tenth of a declared estimate,
+    /// and long when there is neither an estimate nor experience
+    Duration plausibleLength(const std::string &queue, const StepSpec &step) const;
     /// @return the expected duration of the longest chain of dependent steps of @p job that begins with @p step
     Duration criticalPathFrom(const JobSpec &job, std::uint32_t step) const;
     /// @return the expected duration of the longest chain of dependent steps of @p job
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -27,10 +27,16 @@
     Duration startRetry{30}; ///< Delay after an unanswered start; short, because the other gang members wait.
     Duration passGapMax{1'000}; ///< After a longer gap between passes, this process itself may have been suspended.
     /// A run is considered hung after this share of its expected time without progress, within the two limits below.
-    /// Even a task that is a dozen times slower than expected advances by one percent in a quarter of this time.
+    /// The times of hungPercents and hungShareBeforeProgress apply where they are longer.
     double hungShare{0.5};
     Duration hungTimeMin{2'000}; ///< Longer than a worker may delay its answer to a poll.
-    Duration hungTimeMax{5'000}; ///< Even slow runs make progress within this time.
+    Duration hungTimeMax{5'000};
+    /// Percents that a run must advance by in the time without progress, at its earlier pace or that of its step.
+    double hungPercents{10};
+    /// Share of the plausible length in which the first percent of a step must show, as long as no task of it has made
+    /// progress. Leaves room for an estimate that is a tenth of the length and a worker of a quarter of the usual
+    /// speed.
+    double hungShareBeforeProgress{0.45};
     std::uint32_t reservedRacksMax{2}; ///< Racks reserved for gangs at the same time; a third of a small pool.
     /// Pause after a gang or an urgent step found no place; doubles with each further failure. A search over all
     /// workers takes milliseconds.
@@ -309,7 +315,14 @@
     void releaseExpiredRuns(Instant now);
     /// Restarts the time without progress of every run.
     void restartHangDetection(Instant now);
-    bool isHung(const RunLocation &run) const;
+    /// Median pace of the tasks of a step in milliseconds per percent, for a worker of normal speed; 0 while unknown.
+    /// Computed once a pass.
+    using SiblingPaces = std::map<std::pair<const Occurrence *, std::uint32_t>, double>;
+    double siblingPace(const RunLocation &run, SiblingPaces &known) const;
+    /// @return the pace of the run or, until it is measured, the one that other tasks of its step suggest; 0 while
+    /// unknown
+    double paceOf(const RunLocation &run, SiblingPaces &known) const;
+    bool isHung(const RunLocation &run, SiblingPaces &known) const;
     void stopHungRuns(Decision &decision, Instant now);
     /// Stops the gang if some of its members have been waiting for the others for too long.
     void stopIncompleteGang(const Job &job, Unit &unit, Instant now);
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -5,13 +5,6 @@
 namespace heatherquay::state::batch
 {
 
-namespace detail
-{
-
-constexpr std::uint32_t percentDone = 100;
-
-} // namespace detail
-
 void Scheduler::openDueOccurrences(Instant now, Instant wall)
 {
     for (auto &[id, job] : m_jobs) {
@@ -83,63 +76,6 @@
     }
 }
 
-void Scheduler::restartHangDetection(Instant now)
-{
-    for (const auto &[id, runs] : m_runsOn) {
-        for (const RunRef &ref : runs) {
-            findRun(ref).member->progressAt = now;
-        }
-    }
-}
-
-bool Scheduler::isHung(const RunLocation &run) const
-{
-    const Member &member = *run.member;
-    const StepSpec &step = stepOf(*run.job, *run.unit);
-    // A gang member that has completed its work waits for the others and is not hung.
-    if (run.unit->stopping || run.unit->done || step.perpetual || member.percent >= detail::percentDone) {
-        return false;
-    }
-    // A gang makes no progress before all its members run.
-    Instant since = member.progressAt;
-    for (const Member &other : run.unit->members) {
-        if (other.phase != RunPhase::Running) {
-            return false;
-        }
-        since = std::max(since, other.startedAt);
-    }
-    const Duration expected = m_estimates.expected(run.job->spec.queue, step);
-    const Duration bound(static_cast<std::int64_t>(m_settings.hungShare * static_cast<double>(expected.count())));
-    return member.reportedAt - since >= std::clamp(bound, m_settings.hungTimeMin, m_settings.hungTimeMax);
-}
-
-void Scheduler::stopHungRuns(Decision &decision, Instant now)
-{
-    for (auto &[id, runs] : m_runsOn) {
-        const Worker *worker = m_pool.find(id);
-        if (worker == nullptr || worker->unreachable || !worker->fenced) {
-            continue;
-        }
-        for (const RunRef &ref : runs) {
-            const RunLocation run = findRun(ref);
-            if (!isHung(run)) {
-                continue;
-            }
-            decision.hung.push_back(taskOf(*run.job, *run.occurrence, *run.unit, ref.member));
-            run.unit->avoided = id;
-            stopUnit(*run.unit);
-        }
-    }
-    for (const TaskId &task : decision.hung) {
-        const auto &unit = m_jobs.at(task.job)
-                               .occurrences.at(task.occurrence)
-                               .units.at(unitIndex(m_jobs.at(task.job), task.step, task.index));
-        if (Worker *worker = m_pool.find(unit.avoided)) {
-            m_pool.noteFailure(*worker, now);
-        }
-    }
-}
-
 void Scheduler::stopIncompleteGang(const Job &job, Unit &unit, Instant now)
 {
     if (!stepOf(job, unit).gang || unit.gangComplete || unit.stopping || unit.done) {
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -70,6 +70,7 @@
     std::string checkpoint;
     std::vector<Member> members; ///< Empty while the unit is not placed.
     WorkerId avoided; ///< Worker on which the last run failed or hung.
+    std::uint32_t stallsBeforeProgress{}; ///< Runs stopped as hung while the pace of the step was unknown.
     std::uint32_t evictions{}; ///< Number of preemptions by more urgent work.
     bool gangComplete{}; ///< All members of the present run were there at the same time.
     std::string reservedRack; ///< Rack reserved for this gang until it fits there.
--- a/src/heatherquay/state/batch/worker_pool.cpp
+++ b/src/heatherquay/state/batch/worker_pool.cpp
@@ -24,6 +24,7 @@
     if (restarted) {
         worker.fenced = false;
         worker.consecutiveFailures = 0;
+        worker.suspectedBy.reset();
         worker.quarantine = Duration::zero();
         worker.quarantinedUntil = {};
         worker.slowness = 1;
@@ -82,6 +83,7 @@
 void WorkerPool::noteSuccess(Worker &worker)
 {
     worker.consecutiveFailures = 0;
+    worker.suspectedBy.reset();
     worker.quarantine = Duration::zero();
 }
 
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -35,6 +35,7 @@
     bool unreachable{}; ///< The latest call was not answered.
     Instant leaseUntil; ///< End of the worker's lease; by then, all runs of an unresponsive worker have ended.
     std::uint32_t consecutiveFailures{};
+    std::optional<StepId> suspectedBy; ///< Step of the latest run that hung here; empty after a successful run.
     Duration quarantine{};
     Instant quarantinedUntil;
     bool slownessMeasured{}; ///< slowness rests on runs there that were compared with others of their step.
