Remove the status of an ended job last

Cause: the rows of a job that ended three minutes ago were removed in two transactions, progress and status first, then the specification and the intake row.

Change: the progress rows go first, then the specification and the intake row, then the status. After each step the job is either known as ended or not known at all; a successor finishes the removal. A status that is older than the row of the job belongs to an earlier job of the same id and no longer ends the new one. The board keeps the entry of a job while one of its two rows exists, so that the removal of an old status does not hide a new job.

Not covered: an unconditional removal that the store executes seconds late, after a new job has taken the id.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -172,7 +172,9 @@
     void assumeLongestLease(const Session &session);
     void applyJobRow(const protocol::batch::StoredRow &row);
     void applyWorkerRow(const protocol::batch::StoredRow &row);
-    void admit(const state::batch::JobSpec &job);
+    /// Passes an accepted job to the scheduler, unless it has ended.
+    /// @param version version of the job's row
+    void admit(const state::batch::JobSpec &job, std::uint64_t version);
     void openSession(const state::batch::WorkerSpec &spec);
     void report(const state::batch::Decision &decision) const;
     /// Starts the next pass without waiting for passIntervalMax.
@@ -215,7 +217,8 @@
     SendQueue<std::shared_ptr<Session>> m_polls;
     boost::asio::steady_timer m_pollTimer;
     std::map<state::WorkerId, std::shared_ptr<Session>> m_sessions;
-    std::map<state::JobId, state::batch::JobSpec> m_jobsBeforeRecovery; ///< Admitted after recovery.
+    /// Jobs with the versions of their rows; admitted after recovery.
+    std::map<state::JobId, std::pair<state::batch::JobSpec, std::uint64_t>> m_jobsBeforeRecovery;
     std::map<state::JobId, state::Instant> m_endedAt; ///< Ended jobs that are not purged yet.
     std::vector<protocol::batch::RowKey> m_replacedRows; ///< Of finished occurrences; no longer read.
     std::vector<state::batch::StartOrder> m_pendingStarts; ///< Sent to the workers once their records are stored.
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -193,9 +193,9 @@
     try {
         const state::batch::JobSpec job = protocol::batch::decodeJob(row.value);
         if (m_recovered) {
-            admit(job);
+            admit(job, row.version);
         } else {
-            m_jobsBeforeRecovery[job.id] = job;
+            m_jobsBeforeRecovery[job.id] = {job, row.version};
         }
     } catch (const Error &error) {
         transport::log(transport::LogLevel::Error, "job-unreadable", {{"job", row.key.key}, {"error", error.what()}});
@@ -203,13 +203,15 @@
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
-void Decider<Store, Worker>::admit(const state::batch::JobSpec &job)
+void Decider<Store, Worker>::admit(const state::batch::JobSpec &job, std::uint64_t version)
 {
     const auto entry = m_ports.board->find(job.id);
-    if (entry && state::batch::isFinal(entry->state)) {
+    // A status that is older than the job belongs to an earlier job of the same id, which is being removed.
+    if (entry && state::batch::isFinal(entry->state) && entry->statusVersion > version) {
         m_endedAt.try_emplace(job.id, now());
         return;
     }
+    m_endedAt.erase(job.id);
     m_scheduler.submit(job, now());
     if (entry && entry->cancelRequested) {
         m_scheduler.cancel(job.id);
@@ -316,9 +318,12 @@
         if (entry.statusVersion > 0) {
             m_writer.setKnownVersion(statusRow(id), entry.statusVersion);
         }
+        if (state::batch::isFinal(entry.state)) {
+            m_endedAt.try_emplace(id, now()); // Also a job of which the predecessor has left only the status.
+        }
     }
     for (const auto &[id, job] : m_jobsBeforeRecovery) {
-        admit(job);
+        admit(job.first, job.second);
     }
     m_jobsBeforeRecovery.clear();
     // The previous decider may have extended leases until its own authority ended, at most authorityTimeout after the
@@ -546,7 +551,7 @@
         }
     }
     for (const state::JobId &job : due) {
-        // The intake row is removed last: the job counts as known while it exists.
+        // The status is removed last: without it, a successor runs a job whose specification is still there.
         const protocol::batch::RowRange range{progressTable, deciderPart, job.value,
                                               static_cast<std::uint32_t>(RecordWriter<Store>::rowsPerTransactionMax)};
         const auto page = co_await m_store.read(range, m_times.orderTimeout);
@@ -561,21 +566,24 @@
         }
         // The rows after those of this job belong to other jobs.
         const bool last = rows.size() < page.rows.size() || !page.more;
-        if (last) {
-            rows.push_back(statusRow(job));
-        }
-        const bool recordsGone = co_await m_writer.remove(rows, true);
+        const bool recordsGone = rows.empty() || co_await m_writer.remove(rows, true);
         if (!recordsGone || m_stopped) {
             co_return;
         }
-        if (!last) {
-            continue; // The next pass removes the rest.
+        // The next pass removes the rest. A job with the same id may have been accepted in the meantime.
+        if (!last || !m_endedAt.contains(job)) {
+            continue;
         }
         const std::vector<protocol::batch::RowKey> intake{jobRow(job), intakeRow(job)};
         const bool intakeGone = co_await m_writer.remove(intake, false);
         if (!intakeGone || m_stopped) {
             co_return;
         }
+        const std::vector<protocol::batch::RowKey> status{statusRow(job)};
+        const bool statusGone = co_await m_writer.remove(status, true);
+        if (!statusGone || m_stopped) {
+            co_return;
+        }
         m_endedAt.erase(job);
     }
 }
--- a/src/heatherquay/coordination/batch/job_board.cpp
+++ b/src/heatherquay/coordination/batch/job_board.cpp
@@ -38,7 +38,20 @@
     const state::JobId job{row.key.key};
     const bool intake = row.key.part == intakePart;
     if (row.removed) {
-        m_jobs.erase(job);
+        const auto found = m_jobs.find(job);
+        if (found == m_jobs.end()) {
+            return job;
+        }
+        // The rows of a job are removed one after the other, and a new job may have taken the id in between.
+        BoardEntry &entry = found->second;
+        entry.accepted = entry.accepted && !intake;
+        if (!intake) {
+            entry.statusVersion = 0;
+            entry.state = state::batch::JobState::Queued;
+        }
+        if (!entry.accepted && entry.statusVersion == 0) {
+            m_jobs.erase(found);
+        }
         return job;
     }
     try {
--- a/tests/batch/decider_test.cpp
+++ b/tests/batch/decider_test.cpp
@@ -36,7 +36,8 @@
 {
     DeciderProcess(boost::asio::io_context &context, test::MemoryStore &rowStore,
                    std::map<std::string, std::shared_ptr<test::FakeWorker>> &workers, std::uint64_t token,
-                   double clockRateMin = DeciderTimes().clockRateMin)
+                   double clockRateMin = DeciderTimes().clockRateMin,
+                   std::chrono::milliseconds retention = DeciderTimes().endedJobRetention)
         : store(rowStore)
         , mirror(store, boardTable, {intakePart, deciderPart}, [this](const protocol::batch::StoredRow &row) {
             if (row.key.key == termKey) {
@@ -96,6 +97,7 @@
         times.leaseExpiryMargin = 20ms;
         times.leaseMax = longestLease;
         times.clockRateMin = clockRateMin;
+        times.endedJobRetention = retention;
         state::batch::SchedulerSettings settings;
         settings.stopRetry = 50ms;
         decider = std::make_shared<TestDecider>(context.get_executor(), store, protocol::batch::FencingToken{token},
@@ -621,6 +623,50 @@
     }
 }
 
+// Guards against a job that runs again: its rows are removed in several transactions, and a successor may take over
+// between any two of them.
+BOOST_DATA_TEST_CASE(a_takeover_while_an_ended_job_is_removed_starts_nothing, boost::unit_test::data::xrange(1, 4),
+                     removals)
+{
+    constexpr auto retention = 100ms;
+    constexpr auto clockRate = DeciderTimes().clockRateMin;
+    process = std::make_unique<DeciderProcess>(context, store, workers, 1, clockRate, retention);
+    submit("a", 20);
+    for (int i = 0; i < 500 && !completed("a"); ++i) {
+        runFor(1ms);
+    }
+    BOOST_REQUIRE(completed("a"));
+    const auto rowsLeft = [this] {
+        int left = store.value(jobRow({"a"})).empty() ? 0 : 1;
+        left += store.value(intakeRow({"a"})).empty() ? 0 : 1;
+        left += store.value(statusRow({"a"})).empty() ? 0 : 1;
+        for (std::uint32_t block = 0; block < 2; ++block) {
+            left += store.value(progressRow({"a"}, 0, block)).empty() ? 0 : 1;
+        }
+        return left;
+    };
+    int rows = rowsLeft();
+    for (int removed = 0; removed < removals && rows > 0;) {
+        process->confirmedAt = std::chrono::steady_clock::now();
+        context.run_one();
+        removed += rowsLeft() < rows ? 1 : 0;
+        rows = rowsLeft();
+    }
+    store.down = true; // The process is killed before its next transaction is applied.
+    process->kill();
+    runFor(10ms);
+    store.down = false;
+    successor = std::make_unique<DeciderProcess>(context, store, workers, 2, clockRate, retention);
+    for (int i = 0; i < 10; ++i) {
+        successor->confirmedAt = std::chrono::steady_clock::now();
+        runFor(50ms);
+    }
+    for (const auto &[task, count] : starts()) {
+        BOOST_TEST(count == 1, task);
+    }
+    BOOST_TEST(rowsLeft() == 0);
+}
+
 // Guards against runs that continue after their job is cancelled.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped)
 {
