--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -19,6 +19,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/ioctl.h>
+
 namespace heatherquay::transport
 {
 
@@ -72,6 +74,14 @@
     return message;
 }
 
+enum class ConnectionState
+{
+    Idle, ///< Waits for a request.
+    Receiving,
+    Handling, ///< The handler runs, or the response is being sent.
+    Closing
+};
+
 /// Cancels the read operations of a connection when a request is not received in time. Runs on its strand.
 class ReceiveTimer : public std::enable_shared_from_this<ReceiveTimer>
 {
@@ -112,20 +122,30 @@
 
 } // namespace detail
 
+using detail::ConnectionState;
+
 struct HttpServer::Shared : std::enable_shared_from_this<HttpServer::Shared>
 {
     struct Connection
     {
         Connection(tcp::socket socket, std::string address)
             : stream(std::move(socket))
+            , descriptor(stream.socket().native_handle())
             , remote(std::move(address))
         {
         }
 
+        bool hasUnreadInput() const
+        {
+            int size = 0;
+            return ::ioctl(descriptor, FIONREAD, &size) == 0 && size > 0;
+        }
+
         beast::tcp_stream stream;
+        const int descriptor;
         beast::flat_buffer buffer;
         std::string remote;
-        bool busy{};
+        std::atomic<ConnectionState> state{ConnectionState::Idle};
     };
 
     Shared(asio::any_io_executor ex, HttpHandler h, HttpErrorResponder r, HttpServerLimits l)
@@ -238,7 +258,7 @@
 asio::awaitable<void> HttpServer::Shared::lingeringClose(Connection &connection)
 {
     beast::error_code ignored;
-    connection.busy = false;
+    connection.state = ConnectionState::Closing;
     connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     connection.stream.expires_after(detail::lingerTimeout);
     connection.buffer.clear();
@@ -290,7 +310,7 @@
         }
         connection.buffer.commit(size);
     }
-    connection.busy = true;
+    connection.state = ConnectionState::Receiving;
     // The timeout of the stream would close the socket, and the client would not receive status 408.
     connection.stream.expires_never();
     const auto receiveTimer = std::make_shared<detail::ReceiveTimer>(connection.stream, limits.receiveTimeout);
@@ -330,6 +350,7 @@
     HttpRequest request = detail::toRequest(parser.release(), connection.remote);
     connection.stream.expires_never();
     ++requestsInProgress;
+    connection.state = ConnectionState::Handling;
     HttpResponse response;
     std::string failure;
     try {
@@ -344,7 +365,7 @@
     const bool keepAlive = clientKeepsAlive && response.keepAlive && !closing.load();
     const bool keepOpen = co_await sendResponse(connection, std::move(response), version, keepAlive, headOnly);
     --requestsInProgress;
-    connection.busy = false;
+    connection.state = ConnectionState::Idle;
     co_return keepOpen;
 }
 
@@ -404,7 +425,7 @@
         shared->acceptor.close(ignored);
     });
     m_shared->forEach([](Shared::Connection &connection) {
-        if (!connection.busy) {
+        if (connection.state == ConnectionState::Idle || connection.state == ConnectionState::Closing) {
             connection.stream.close();
         }
     });
@@ -415,6 +436,20 @@
     return m_shared->requestsInProgress.load();
 }
 
+HttpServerActivity HttpServer::activity() const
+{
+    HttpServerActivity activity;
+    const std::lock_guard lock(m_shared->mutex);
+    for (const auto &[raw, weak] : m_shared->connections) {
+        const auto connection = weak.lock();
+        const ConnectionState state = connection ? connection->state.load() : ConnectionState::Closing;
+        activity.receiving += state == ConnectionState::Receiving ? 1 : 0;
+        activity.handling += state == ConnectionState::Handling ? 1 : 0;
+        activity.unread += state == ConnectionState::Idle && connection->hasUnreadInput() ? 1 : 0;
+    }
+    return activity;
+}
+
 void HttpServer::closeAll()
 {
     m_shared->forEach([](Shared::Connection &connection) {
--- a/src/heatherquay/transport/http_server.hpp
+++ b/src/heatherquay/transport/http_server.hpp
@@ -26,6 +26,14 @@
     std::uint32_t connectionsPerAddress{1024}; ///< Open connections of one client IP address.
 };
 
+/// What the connections of a server are doing.
+struct HttpServerActivity
+{
+    std::uint32_t receiving{}; ///< Connections on which a request has begun to arrive and has no handler yet.
+    std::uint32_t handling{}; ///< Requests whose response is not fully sent.
+    std::uint32_t unread{}; ///< Connections without a request whose socket has input; approximate while they change.
+};
+
 /// Handles one request. If it throws, the server responds with status 500.
 using HttpHandler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
@@ -58,6 +66,7 @@
     void stopAccepting();
     /// @return the number of requests that have been received and whose response is not fully sent
     std::uint32_t inProgress() const;
+    HttpServerActivity activity() const;
     /// Closes all connections immediately, also those with a request in progress.
     void closeAll();
 
