Drain the servers before a process ends

Callers saw: a request sent whole on a kept connection and closed without a byte of a response, 2.3 s after the SIGTERM of the process. Cause: a stop waited until no handler ran, and then ended the event loop in the same turn. The handler of a request starts two turns of the loop after its bytes were read (head, body), so that a request in between was not counted; the closing of idle connections was queued in the loop that had just been ended; connections in the accept queue were reset. The class of fault: the end of a server is decided by a count of work that is begun, not by the state of its connections. Evidence: 24 of 24 requests were closed with FIN, so they had been read, and the process logged receiving=24. Change: HttpServer::drain() accepts what the kernel has accepted, looks at each idle connection's socket once more after its read is cancelled, answers what has arrived, and is over when the listener and all connections are closed. An idle connection is closed without reading on, where it was half-closed and read to the end before. Handlers run beside their connections, so that a request which outlives the grace period is answered with 504 in place of nothing. The product's own entry process stopped in the same way; it now drains its servers of callers and of operators too. Why it works: a connection leaves the count only after its response is sent or after a look at the socket that found no input.

--- a/src/heatherquay/app/entry_process.cpp
+++ b/src/heatherquay/app/entry_process.cpp
@@ -103,6 +103,15 @@
     return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+/// Drains a server and returns when that is done, or at the deadline.
+void drainUntil(transport::HttpServer &server, std::chrono::steady_clock::time_point deadline)
+{
+    server.drain();
+    while (!server.drained() && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(drainPollInterval);
+    }
+}
+
 } // namespace detail
 
 struct EntryProcess::Components
@@ -577,11 +586,10 @@
     components.draining.store(true);
     components.callerServer.announceClose();
     std::this_thread::sleep_for(components.settings->stop.drainDuration);
-    components.callerServer.stopAccepting();
-    while (components.callerServer.inProgress() > 0 && std::chrono::steady_clock::now() < deadline) {
-        std::this_thread::sleep_for(detail::drainPollInterval);
-    }
-    const bool allAnswered = components.callerServer.inProgress() == 0;
+    detail::drainUntil(components.callerServer, deadline);
+    const transport::HttpServerActivity left = components.callerServer.activity();
+    const bool allAnswered = left.receiving + left.handling == 0;
+    components.callerServer.answerPending();
     // Requests in progress may still need slots, so the entry leaves only after they have ended.
     components.ledger->beginLeaving();
     components.membership.announceLeaving();
@@ -590,7 +598,7 @@
         = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
     const auto leaveTimeout = std::clamp(remaining, detail::leaveTimeoutMin, detail::leaveTimeoutMax);
     asio::co_spawn(components.io, components.membership.leave(leaveTimeout), asio::use_future).wait_for(leaveTimeout);
-    components.operatorServer.stopAccepting();
+    detail::drainUntil(components.operatorServer, deadline);
     components.membership.stop();
     components.journal.stop();
     components.vmList.stop();
--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -36,6 +36,9 @@
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
 constexpr std::chrono::milliseconds lingerTimeout{500};
 constexpr std::size_t lingerReadSize = 16 * 1024;
+constexpr std::chrono::milliseconds firstRequestTimeout{
+    500}; // Of a connection that is accepted shortly before a drain.
+constexpr unsigned gatewayTimeout = 504;
 
 bool isFramingField(std::string_view name)
 {
@@ -82,6 +85,36 @@
     Closing
 };
 
+/// How a connection goes on after a request.
+enum class Next
+{
+    ReadRequest,
+    Linger, ///< A response was sent that announces the close.
+    Close ///< Nothing was received since the last response, or the connection has failed.
+};
+
+/// Response of a handler that runs beside its connection, so that the connection need not wait for it.
+struct PendingResponse
+{
+    explicit PendingResponse(const asio::any_io_executor &executor)
+        : finishedTimer(executor, asio::steady_timer::time_point::max())
+    {
+    }
+
+    void finish(HttpResponse result)
+    {
+        if (!finished) {
+            finished = true;
+            response = std::move(result);
+            finishedTimer.cancel();
+        }
+    }
+
+    HttpResponse response;
+    bool finished{};
+    asio::steady_timer finishedTimer; ///< Cancelled when the response is there.
+};
+
 /// Cancels the read operations of a connection when a request is not received in time. Runs on its strand.
 class ReceiveTimer : public std::enable_shared_from_this<ReceiveTimer>
 {
@@ -123,6 +156,7 @@
 } // namespace detail
 
 using detail::ConnectionState;
+using detail::Next;
 
 struct HttpServer::Shared : std::enable_shared_from_this<HttpServer::Shared>
 {
@@ -146,6 +180,8 @@
         beast::flat_buffer buffer;
         std::string remote;
         std::atomic<ConnectionState> state{ConnectionState::Idle};
+        bool servedRequest{};
+        std::shared_ptr<detail::PendingResponse> pending; ///< While the handler of a request runs.
     };
 
     Shared(asio::any_io_executor ex, HttpHandler h, HttpErrorResponder r, HttpServerLimits l)
@@ -158,11 +194,16 @@
     }
 
     asio::awaitable<void> acceptLoop();
+    void acceptEstablished();
+    void startConnection(tcp::socket socket);
     asio::awaitable<void> serveConnection(std::shared_ptr<Connection> connection);
-    asio::awaitable<bool> serveRequest(Connection &connection);
+    asio::awaitable<Next> serveRequest(Connection &connection);
+    asio::awaitable<bool> waitForRequest(Connection &connection);
+    asio::awaitable<HttpResponse> awaitResponse(Connection &connection, HttpRequest request);
+    asio::awaitable<void> runHandler(std::shared_ptr<detail::PendingResponse> pending, HttpRequest request);
     asio::awaitable<void> lingeringClose(Connection &connection);
-    asio::awaitable<bool> sendErrorResponse(Connection &connection, unsigned status, const std::string &detail);
-    asio::awaitable<bool> sendResponse(Connection &connection, HttpResponse response, unsigned version, bool keepAlive,
+    asio::awaitable<Next> sendErrorResponse(Connection &connection, unsigned status, const std::string &detail);
+    asio::awaitable<Next> sendResponse(Connection &connection, HttpResponse response, unsigned version, bool keepAlive,
                                        bool headOnly);
     bool admit(const std::shared_ptr<Connection> &connection);
     void release(const std::shared_ptr<Connection> &connection);
@@ -174,7 +215,9 @@
     HttpServerLimits limits;
     tcp::acceptor acceptor;
     std::atomic<bool> closing{false};
-    std::atomic<std::uint32_t> requestsInProgress{0};
+    std::atomic<bool> draining{false};
+    std::atomic<bool> accepting{false};
+    std::atomic<std::uint32_t> openConnections{0};
     std::mutex mutex;
     std::unordered_map<Connection *, std::weak_ptr<Connection>> connections;
     std::map<std::string, std::uint32_t> connectionsByAddress;
@@ -219,7 +262,7 @@
     while (acceptor.is_open()) {
         auto [error, socket] = co_await acceptor.async_accept(asio::make_strand(executor), detail::awaitTuple);
         if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
-            co_return;
+            break;
         }
         if (error) {
             // The usual cause is the limit of open files; connections may close during the delay.
@@ -227,30 +270,60 @@
             co_await timer.async_wait(detail::awaitTuple);
             continue;
         }
-        beast::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        socket.set_option(asio::socket_base::keep_alive(true), ignored);
-        const auto remote = socket.remote_endpoint(ignored);
-        auto connection = std::make_shared<Connection>(std::move(socket), remote.address().to_string());
-        asio::co_spawn(connection->stream.get_executor(), serveConnection(connection), asio::detached);
+        startConnection(std::move(socket));
+    }
+    accepting = false;
+}
+
+/// Accepts the connections that the kernel has established, because closing the listener would reset them.
+void HttpServer::Shared::acceptEstablished()
+{
+    beast::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(asio::make_strand(executor));
+        acceptor.accept(socket, error);
+        if (!error) {
+            startConnection(std::move(socket));
+        }
     }
 }
 
+void HttpServer::Shared::startConnection(tcp::socket socket)
+{
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const auto remote = socket.remote_endpoint(ignored);
+    auto connection = std::make_shared<Connection>(std::move(socket), remote.address().to_string());
+    ++openConnections;
+    asio::co_spawn(connection->stream.get_executor(), serveConnection(connection), asio::detached);
+}
+
 asio::awaitable<void> HttpServer::Shared::serveConnection(std::shared_ptr<Connection> connection)
 {
     const auto self = shared_from_this();
-    if (!admit(connection)) {
-        co_await sendErrorResponse(*connection, 429, "too many open connections");
-        co_await lingeringClose(*connection);
-        co_return;
-    }
+    const bool admitted = admit(connection);
+    Next next = admitted ? Next::ReadRequest : Next::Linger;
     try {
-        while (co_await serveRequest(*connection)) { }
+        if (!admitted) {
+            co_await sendErrorResponse(*connection, 429, "too many open connections");
+        }
+        while (next == Next::ReadRequest) {
+            next = co_await serveRequest(*connection);
+        }
     } catch (const std::exception &error) {
         log(LogLevel::Error, "connection-failed", {{"remote", connection->remote}, {"error", error.what()}});
     }
-    co_await lingeringClose(*connection);
-    release(connection);
+    connection->state = ConnectionState::Closing;
+    if (next == Next::Linger) {
+        co_await lingeringClose(*connection);
+    }
+    connection->stream.close();
+    if (admitted) {
+        release(connection);
+    }
+    --openConnections;
 }
 
 /// Shuts down the sending side, then reads and discards input until the peer closes or lingerTimeout passes. Closing a
@@ -258,7 +331,6 @@
 asio::awaitable<void> HttpServer::Shared::lingeringClose(Connection &connection)
 {
     beast::error_code ignored;
-    connection.state = ConnectionState::Closing;
     connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     connection.stream.expires_after(detail::lingerTimeout);
     connection.buffer.clear();
@@ -268,16 +340,15 @@
         const auto [error, size] = co_await connection.stream.async_read_some(space, detail::awaitTuple);
         ended = error;
     }
-    connection.stream.close();
 }
 
-asio::awaitable<bool> HttpServer::Shared::sendErrorResponse(Connection &connection, unsigned status,
+asio::awaitable<Next> HttpServer::Shared::sendErrorResponse(Connection &connection, unsigned status,
                                                             const std::string &detail)
 {
     co_return co_await sendResponse(connection, errorResponder(status, detail), 11, false, false);
 }
 
-asio::awaitable<bool> HttpServer::Shared::sendResponse(Connection &connection, HttpResponse response, unsigned version,
+asio::awaitable<Next> HttpServer::Shared::sendResponse(Connection &connection, HttpResponse response, unsigned version,
                                                        bool keepAlive, bool headOnly)
 {
     const std::string length(response.fields.get("Content-Length"));
@@ -288,28 +359,73 @@
     connection.stream.expires_after(limits.sendTimeout);
     http::response_serializer<http::string_body> serializer(message);
     serializer.split(headOnly);
+    beast::error_code error;
     if (headOnly) {
-        const auto [error, size] = co_await http::async_write_header(connection.stream, serializer, detail::awaitTuple);
-        co_return !error && keepAlive;
+        std::tie(error, std::ignore)
+            = co_await http::async_write_header(connection.stream, serializer, detail::awaitTuple);
+    } else {
+        std::tie(error, std::ignore) = co_await http::async_write(connection.stream, serializer, detail::awaitTuple);
     }
-    const auto [error, size] = co_await http::async_write(connection.stream, serializer, detail::awaitTuple);
-    co_return !error && keepAlive;
+    co_return !error && keepAlive ? Next::ReadRequest : Next::Linger;
 }
 
-asio::awaitable<bool> HttpServer::Shared::serveRequest(Connection &connection)
+/// Waits until input arrives on an idle connection. During a drain, only for input that has arrived already, or for the
+/// first request of a new connection.
+/// @return whether there is input in the buffer; false when the connection is to be closed
+asio::awaitable<bool> HttpServer::Shared::waitForRequest(Connection &connection)
 {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(limits.headerBytes);
-    parser.body_limit(limits.bodyBytes);
-    if (connection.buffer.size() == 0) {
-        connection.stream.expires_after(limits.idleTimeout);
+    while (connection.buffer.size() == 0) {
+        if (draining && connection.servedRequest && !connection.hasUnreadInput()) {
+            co_return false;
+        }
+        connection.stream.expires_after(draining ? detail::firstRequestTimeout : limits.idleTimeout);
         auto space = connection.buffer.prepare(4096);
         const auto [error, size] = co_await connection.stream.async_read_some(space, detail::awaitTuple);
-        if (error) {
+        if (error && (error != asio::error::operation_aborted || !draining)) {
             co_return false;
         }
         connection.buffer.commit(size);
     }
+    co_return true;
+}
+
+/// Runs the handler beside the connection, which answerPending() can release.
+asio::awaitable<HttpResponse> HttpServer::Shared::awaitResponse(Connection &connection, HttpRequest request)
+{
+    const auto pending = std::make_shared<detail::PendingResponse>(connection.stream.get_executor());
+    connection.pending = pending;
+    asio::co_spawn(connection.stream.get_executor(), runHandler(pending, std::move(request)), asio::detached);
+    while (!pending->finished) {
+        co_await pending->finishedTimer.async_wait(detail::awaitTuple);
+    }
+    connection.pending.reset();
+    co_return std::move(pending->response);
+}
+
+asio::awaitable<void> HttpServer::Shared::runHandler(std::shared_ptr<detail::PendingResponse> pending,
+                                                     HttpRequest request)
+{
+    const auto self = shared_from_this();
+    std::string failure;
+    try {
+        pending->finish(co_await handler(std::move(request)));
+    } catch (const std::exception &exception) {
+        failure = exception.what();
+    }
+    if (!failure.empty()) {
+        log(LogLevel::Error, "handler-failed", {{"error", failure}});
+        pending->finish(errorResponder(500, failure));
+    }
+}
+
+asio::awaitable<Next> HttpServer::Shared::serveRequest(Connection &connection)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    if (!co_await waitForRequest(connection)) {
+        co_return Next::Close;
+    }
     connection.state = ConnectionState::Receiving;
     // The timeout of the stream would close the socket, and the client would not receive status 408.
     connection.stream.expires_never();
@@ -339,7 +455,7 @@
     const bool disconnected = error == http::error::end_of_stream || error == http::error::partial_message
         || error.category() == asio::error::get_system_category();
     if (error && disconnected) {
-        co_return false;
+        co_return Next::Close;
     }
     if (error) {
         co_return co_await sendErrorResponse(connection, 400, "malformed HTTP: " + error.message());
@@ -349,24 +465,13 @@
     const bool headOnly = parser.get().method() == http::verb::head;
     HttpRequest request = detail::toRequest(parser.release(), connection.remote);
     connection.stream.expires_never();
-    ++requestsInProgress;
     connection.state = ConnectionState::Handling;
-    HttpResponse response;
-    std::string failure;
-    try {
-        response = co_await handler(std::move(request));
-    } catch (const std::exception &exception) {
-        failure = exception.what();
-    }
-    if (!failure.empty()) {
-        log(LogLevel::Error, "handler-failed", {{"error", failure}});
-        response = errorResponder(500, failure);
-    }
+    HttpResponse response = co_await awaitResponse(connection, std::move(request));
     const bool keepAlive = clientKeepsAlive && response.keepAlive && !closing.load();
-    const bool keepOpen = co_await sendResponse(connection, std::move(response), version, keepAlive, headOnly);
-    --requestsInProgress;
+    const Next next = co_await sendResponse(connection, std::move(response), version, keepAlive, headOnly);
+    connection.servedRequest = true;
     connection.state = ConnectionState::Idle;
-    co_return keepOpen;
+    co_return next;
 }
 
 HttpServer::HttpServer(asio::any_io_executor executor, HttpHandler handler, HttpErrorResponder errorResponder,
@@ -377,7 +482,7 @@
 
 HttpServer::~HttpServer()
 {
-    stopAccepting();
+    drain();
     closeAll();
 }
 
@@ -399,6 +504,7 @@
         throw Error(ErrorKind::BadInput, "cannot listen on " + address + ": " + error.message(),
                     "use an IP address of this VM and a free port");
     }
+    m_shared->accepting = true;
     asio::co_spawn(
         m_shared->acceptor.get_executor(),
         [shared = m_shared] {
@@ -417,23 +523,35 @@
     m_shared->closing.store(true);
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::drain()
 {
     announceClose();
+    m_shared->draining = true;
     asio::post(m_shared->acceptor.get_executor(), [shared = m_shared] {
+        shared->acceptEstablished();
         beast::error_code ignored;
         shared->acceptor.close(ignored);
     });
     m_shared->forEach([](Shared::Connection &connection) {
-        if (connection.state == ConnectionState::Idle || connection.state == ConnectionState::Closing) {
-            connection.stream.close();
+        if (connection.state == ConnectionState::Idle) {
+            connection.stream.cancel(); // waitForRequest() looks for input once more.
         }
     });
 }
 
-std::uint32_t HttpServer::inProgress() const
+bool HttpServer::drained() const
 {
-    return m_shared->requestsInProgress.load();
+    return !m_shared->accepting && m_shared->openConnections == 0;
+}
+
+void HttpServer::answerPending()
+{
+    m_shared->forEach([shared = m_shared](Shared::Connection &connection) {
+        if (connection.pending) {
+            connection.pending->finish(
+                shared->errorResponder(detail::gatewayTimeout, "the server stops before the outcome is known"));
+        }
+    });
 }
 
 HttpServerActivity HttpServer::activity() const
--- a/src/heatherquay/transport/http_server.hpp
+++ b/src/heatherquay/transport/http_server.hpp
@@ -59,13 +59,18 @@
     void listen(const std::string &address);
     /// @return the address and port to which the server is bound
     boost::asio::ip::tcp::endpoint localEndpoint() const;
-    /// From now on responses carry "Connection: close", so that callers reconnect to another entry.
+    /// From now on responses carry "Connection: close", so that callers reconnect to another entry. Idle connections
+    /// stay open.
     void announceClose();
-    /// Stops accepting connections and closes idle ones. Responses to requests in progress are still sent, with
+    /// Stops accepting connections, after those that the kernel has already established, and closes each connection as
+    /// soon as it carries no request. A request that has arrived, in part or whole, is read and answered with
     /// "Connection: close".
-    void stopAccepting();
-    /// @return the number of requests that have been received and whose response is not fully sent
-    std::uint32_t inProgress() const;
+    void drain();
+    /// @return whether the listener and all connections are closed
+    bool drained() const;
+    /// Answers each request whose handler has not finished with status 504. The handlers go on, and their responses are
+    /// dropped.
+    void answerPending();
     HttpServerActivity activity() const;
     /// Closes all connections immediately, also those with a request in progress.
     void closeAll();
--- a/tests/protocol/table_client_test.cpp
+++ b/tests/protocol/table_client_test.cpp
@@ -56,7 +56,7 @@
     ~ServiceFixture()
     {
         unresponsive = false;
-        server.stopAccepting();
+        server.drain();
         server.closeAll();
         std::this_thread::sleep_for(30ms);
         io.stop();
--- a/tests/transport/http_input_test.cpp
+++ b/tests/transport/http_input_test.cpp
@@ -50,7 +50,7 @@
     }
     ~InputFixture()
     {
-        server.stopAccepting();
+        server.drain();
         server.closeAll();
         std::this_thread::sleep_for(20ms);
         io.stop();
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -47,7 +47,7 @@
     }
     ~ServerFixture()
     {
-        server.stopAccepting();
+        server.drain();
         server.closeAll();
         std::this_thread::sleep_for(20ms);
         io.stop();
