Answer requests that become complete at the end of a drain

Callers saw: a request whose last byte arrives in the last 0.3 s of the grace period and whose handler does not finish in that time got no response. Cause: HttpServer::answerPending() answers the requests whose handler runs at that moment. A request that is still arriving then got a handler later, which nothing ends. Evidence: the new test receives no response within a second, and the server does not drain in the two seconds after. Change: after answerPending() no handler starts; a request that becomes complete is answered with 503, since it has not run. Why it works: every request is either among those that are answered with 504 or finds the mark; both are read on its strand or after it.

--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -38,6 +38,7 @@
 constexpr std::size_t lingerReadSize = 16 * 1024;
 constexpr std::chrono::milliseconds firstRequestTimeout{
     500}; // Of a connection that is accepted shortly before a drain.
+constexpr unsigned serviceUnavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 
 bool isFramingField(std::string_view name)
@@ -217,6 +218,7 @@
     std::atomic<bool> closing{false};
     std::atomic<bool> draining{false};
     std::atomic<bool> accepting{false};
+    std::atomic<bool> refusing{false}; ///< No handler starts any more.
     std::atomic<std::uint32_t> openConnections{0};
     std::mutex mutex;
     std::unordered_map<Connection *, std::weak_ptr<Connection>> connections;
@@ -392,6 +394,9 @@
 /// Runs the handler beside the connection, which answerPending() can release.
 asio::awaitable<HttpResponse> HttpServer::Shared::awaitResponse(Connection &connection, HttpRequest request)
 {
+    if (refusing) {
+        co_return errorResponder(detail::serviceUnavailable, "the server stops");
+    }
     const auto pending = std::make_shared<detail::PendingResponse>(connection.stream.get_executor());
     connection.pending = pending;
     asio::co_spawn(connection.stream.get_executor(), runHandler(pending, std::move(request)), asio::detached);
@@ -546,6 +551,7 @@
 
 void HttpServer::answerPending()
 {
+    m_shared->refusing = true;
     m_shared->forEach([shared = m_shared](Shared::Connection &connection) {
         if (connection.pending) {
             connection.pending->finish(
--- a/src/heatherquay/transport/http_server.hpp
+++ b/src/heatherquay/transport/http_server.hpp
@@ -69,7 +69,7 @@
     /// @return whether the listener and all connections are closed
     bool drained() const;
     /// Answers each request whose handler has not finished with status 504. The handlers go on, and their responses are
-    /// dropped.
+    /// dropped. Requests that become complete later are answered with status 503 and have no handler.
     void answerPending();
     HttpServerActivity activity() const;
     /// Closes all connections immediately, also those with a request in progress.
--- a/tests/transport/http_drain_test.cpp
+++ b/tests/transport/http_drain_test.cpp
@@ -170,4 +170,20 @@
     BOOST_TEST(drains(2s));
 }
 
+// Guards against a request that becomes complete after the pending ones were answered and ends with its handler.
+BOOST_FIXTURE_TEST_CASE(a_request_that_arrives_after_the_pending_ones_were_answered_is_answered, PausableServer)
+{
+    const KeptConnection connection = connectAndUse(*this);
+    BOOST_REQUIRE(connection.send("POST /endless HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab"));
+    std::this_thread::sleep_for(50ms);
+    server.drain();
+    server.answerPending();
+    std::this_thread::sleep_for(50ms);
+    BOOST_REQUIRE(connection.send("cd"));
+    const auto response = connection.receive(1s);
+    BOOST_TEST(response.status == 503U, response.failure);
+    BOOST_TEST(response.closes);
+    BOOST_TEST(drains(2s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
