Tell callers that a request may have run when a stop answers it

Callers saw: status 504 with the outcome not-run for a request that the entry had passed on to an endpoint and that was still at work when the time for a stop ended. A caller that trusts the outcome sends the request again, and it runs twice. Cause: HttpServer::answerPending() asks the error responder for status 504. CallerApi::refuse() was written for requests that were never handled, and gave each status but 500 the outcome not-run. Evidence: the new test reads not-run. Why it works: the server asks for 504 only when a handler runs; all other statuses but 500 are for requests without a handler. Result: a_request_that_a_stop_answers_may_have_run failed before and passes.

--- a/src/heatherquay/coordination/caller_api.cpp
+++ b/src/heatherquay/coordination/caller_api.cpp
@@ -370,6 +370,12 @@
         problem.title = "Internal error";
         problem.outcome = Outcome::Unknown;
     }
+    if (status == 504) {
+        // The handler is still at work while the entry stops.
+        problem.type = "stopped";
+        problem.title = "The entry stopped";
+        problem.outcome = Outcome::Unknown;
+    }
     if (status == 429 || status == 503) {
         problem.retryAfter = std::chrono::seconds(1);
     }
--- a/tests/coordination/caller_api_test.cpp
+++ b/tests/coordination/caller_api_test.cpp
@@ -61,3 +61,10 @@
     BOOST_TEST(response.fields.get("X-Public") == "1");
     BOOST_TEST(!response.fields.has("Connection"));
 }
+
+// Guards against a second run of a request whose handler was still at work when a stop answered it.
+BOOST_AUTO_TEST_CASE(a_request_that_a_stop_answers_may_have_run)
+{
+    BOOST_TEST(coordination::CallerApi::refuse(504, "").fields.get("Heatherquay-Outcome") == "unknown");
+    BOOST_TEST(coordination::CallerApi::refuse(503, "").fields.get("Heatherquay-Outcome") == "not-run");
+}
