Answer requests that were read together before the close is announced

Callers saw: of two requests sent together on a connection, only the first was answered when the process had received SIGTERM; the second had been read and was dropped. Cause: after SIGTERM each response announced the close, also when the next request was in the buffer or the socket already; the lingering close reads and discards it. Change: the close is announced with the last response, after which no input is there. Why it works: a request that has arrived when the response before it is built keeps the connection open. One that arrives later was sent before the announcement was read only by a client that does not wait for its response, and which has to repeat it.

--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -472,7 +472,9 @@
     connection.stream.expires_never();
     connection.state = ConnectionState::Handling;
     HttpResponse response = co_await awaitResponse(connection, std::move(request));
-    const bool keepAlive = clientKeepsAlive && response.keepAlive && !closing.load();
+    // A request that arrived behind this one is answered before the close is announced.
+    const bool announceClose = closing && connection.buffer.size() == 0 && !connection.hasUnreadInput();
+    const bool keepAlive = clientKeepsAlive && response.keepAlive && !announceClose;
     const Next next = co_await sendResponse(connection, std::move(response), version, keepAlive, headOnly);
     connection.servedRequest = true;
     connection.state = ConnectionState::Idle;
--- a/tests/transport/http_input_test.cpp
+++ b/tests/transport/http_input_test.cpp
@@ -106,6 +106,16 @@
     BOOST_TEST(response.find("\r\n\r\n5HTTP/1.1 200") != std::string::npos, response);
 }
 
+// Guards against a response that announces the close while a further request has been read and is dropped.
+BOOST_FIXTURE_TEST_CASE(http_requests_read_together_are_all_answered_before_the_close, InputFixture)
+{
+    server.announceClose();
+    const std::string response = exchange(pipelinedRequests);
+    BOOST_TEST(response.find("\r\n\r\n5HTTP/1.1 200") != std::string::npos, response);
+    BOOST_TEST(response.find("Connection: close") > response.rfind("HTTP/1.1 200"), response);
+    BOOST_TEST(response.find("Connection: close") != std::string::npos, response);
+}
+
 // Guards against request smuggling: if one request could be parsed as two, a caller would receive the response to
 // another caller's request.
 BOOST_FIXTURE_TEST_CASE(http_request_with_ambiguous_framing_is_rejected, InputFixture)
