--- a/tests/system/graceful_stop_test.cpp
+++ b/tests/system/graceful_stop_test.cpp
@@ -41,6 +41,15 @@
         return "no line";
     }
 
+    static std::string submissionRequest(std::size_t number)
+    {
+        const std::string id = std::to_string(number);
+        const std::string body = R"({"spec":"x","steps":[{"count":1,"cpu":1000,"memMb":10,"gpu":1,"estimateMs":300}]})";
+        return "POST /batch/" + std::string(16 - id.size(), '0') + id + " HTTP/1.1\r\nHost: " + host
+            + "\r\nAuthorization: Bearer " + key + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+
     static std::string queueRequest()
     {
         return std::string("GET /batch/ HTTP/1.1\r\nHost: ") + host + "\r\nAuthorization: Bearer " + key + "\r\n\r\n";
@@ -73,4 +82,33 @@
     BOOST_TEST(stoppedLine() == "unanswered=0 receiving=0 unread=0");
 }
 
+// Guards against a stop that leaves requests unanswered, or outlasts the grace period, while the store does not
+// respond.
+BOOST_FIXTURE_TEST_CASE(a_stop_with_a_silent_store_answers_all_requests_in_time, StopFixture)
+{
+    auto connections = openConnections(0);
+    const std::jthread silence([this] {
+        platform.runOnEmulatorThread([](test::PlatformEmulator &) {
+            std::this_thread::sleep_for(8s);
+            return 0;
+        });
+    });
+    processes[0]->signal(SIGTERM);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    processes[0]->signal(SIGHUP);
+    std::this_thread::sleep_for(beforeListenerCloses);
+    processes[0]->signal(SIGTERM);
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        BOOST_REQUIRE(connections[i].send(submissionRequest(i)));
+    }
+    for (const KeptConnection &connection : connections) {
+        const KeptConnection::Response response = connection.receive(6s);
+        BOOST_TEST(response.status >= 500U, response.failure);
+        BOOST_TEST(response.closes);
+    }
+    BOOST_TEST(processes[0]->wait(7s).value_or(-1) == 0);
+    BOOST_TEST((std::chrono::steady_clock::now() - stoppedAt).count() / 1'000'000 < 6'000);
+    BOOST_TEST(stoppedLine() == "unanswered=0 receiving=0 unread=0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
