Test the end of a decider while handlers are at work

Change: the test of a stop with a silent store stops the decider, and its requests may take longer than the stop, so that their handlers are at work when the process ends.

--- a/tests/system/graceful_stop_test.cpp
+++ b/tests/system/graceful_stop_test.cpp
@@ -29,6 +29,17 @@
         return connections;
     }
 
+    /// Gives requests more time than a stop has.
+    void configureTimeout(std::chrono::milliseconds timeout)
+    {
+        platform.configure(R"({"version":2,"routes":[{"name":"batch","host":"jobs.example","prefix":"/batch/",)"
+                           R"("service":"service","priority":1,"maxAttempts":3,"stretch":3,"latencyTargetMs":1000,)"
+                           R"("timeoutMs":)"
+                           + std::to_string(timeout.count())
+                           + R"(}],"tenants":[{"name":"t","apiKeys":["secret"]}]})");
+        std::this_thread::sleep_for(1s);
+    }
+
     /// @return the fields of the line that a process logs at its end
     std::string stoppedLine() const
     {
@@ -86,27 +97,29 @@
 // respond.
 BOOST_FIXTURE_TEST_CASE(a_stop_with_a_silent_store_answers_all_requests_in_time, StopFixture)
 {
-    auto connections = openConnections(0);
+    const int stopped = decider();
+    configureTimeout(20s);
+    auto connections = openConnections(stopped);
     const std::jthread silence([this] {
         platform.runOnEmulatorThread([](test::PlatformEmulator &) {
             std::this_thread::sleep_for(8s);
             return 0;
         });
     });
-    processes[0]->signal(SIGTERM);
+    processes[stopped]->signal(SIGTERM);
     const auto stoppedAt = std::chrono::steady_clock::now();
-    processes[0]->signal(SIGHUP);
+    processes[stopped]->signal(SIGHUP);
     std::this_thread::sleep_for(beforeListenerCloses);
-    processes[0]->signal(SIGTERM);
+    processes[stopped]->signal(SIGTERM);
     for (std::size_t i = 0; i < connections.size(); ++i) {
         BOOST_REQUIRE(connections[i].send(submissionRequest(i)));
     }
     for (const KeptConnection &connection : connections) {
         const KeptConnection::Response response = connection.receive(6s);
-        BOOST_TEST(response.status >= 500U, response.failure);
+        BOOST_TEST((response.status == 503U || response.status == 504U), response.status << response.failure);
         BOOST_TEST(response.closes);
     }
-    BOOST_TEST(processes[0]->wait(7s).value_or(-1) == 0);
+    BOOST_TEST(processes[stopped]->wait(7s).value_or(-1) == 0);
     BOOST_TEST((std::chrono::steady_clock::now() - stoppedAt).count() / 1'000'000 < 6'000);
     BOOST_TEST(stoppedLine() == "unanswered=0 receiving=0 unread=0");
 }
