--- a/tests/system/platform_fixture.hpp
+++ b/tests/system/platform_fixture.hpp
@@ -66,15 +66,19 @@
         return "127.0.0." + std::to_string(i + 2) + ":" + std::to_string(ports[port]);
     }
 
-    void startProcess(int i)
+    std::string settingsOf(int i) const
     {
-        const std::string settings = "node = \"vm-" + std::to_string(i) + "\"\nzone = \"z\"\nseeds = [\""
-            + address(0, 2) + "\"]\nnews = 1\n[listen]\nfront = \"" + address(i, 0) + "\"\nready = \"" + address(i, 1)
+        return "node = \"vm-" + std::to_string(i) + "\"\nzone = \"z\"\nseeds = [\"" + address(0, 2)
+            + "\"]\nnews = 1\n[listen]\nfront = \"" + address(i, 0) + "\"\nready = \"" + address(i, 1)
             + "\"\ncontrol = \"" + address(i, 2) + "\"\n[platform]\naddress = \"" + platform.storeAddress()
             + "\"\n[limits]\ncpuShare = " + std::to_string(0.2 + 0.3 * i)
             + "\n[bounds]\nmaxHoldMs = 6000\ngraceS = 6\n";
-        processes[i]
-            = std::make_unique<EntryProcess>("vm-" + std::to_string(i), settings, directory, "HEATHERQUAY_NODE_FILE");
+    }
+
+    void startProcess(int i)
+    {
+        processes[i] = std::make_unique<EntryProcess>("vm-" + std::to_string(i), settingsOf(i), directory,
+                                                      "HEATHERQUAY_NODE_FILE");
     }
 
     transport::HttpResponse call(int i, const std::string &method, const std::string &path, const std::string &body,
