Write the last log lines of an entry that did not stop in time

Operators saw: no `stopped` line of an entry that ended with status 3, which is the one that tells that requests were not answered in time. Cause: such an entry ends with _exit(), which leaves the lines in the queue of the log's thread. Change: closeLog() writes the queue before _exit(). The test also checks that requests which outlast a stop are answered with 504 and the outcome unknown. Why it works: closing the appender joins its thread, which writes what is queued.

--- a/src/heatherquay/app/entry.cpp
+++ b/src/heatherquay/app/entry.cpp
@@ -62,6 +62,7 @@
     const bool stoppedInTime = entry.stop();
     transport::log(transport::LogLevel::Info, "stopped", {{"in_time", stoppedInTime ? "true" : "false"}});
     if (!stoppedInTime) {
+        transport::closeLog();
         ::_exit(detail::forcedExitStatus);
     }
     return EXIT_SUCCESS;
--- a/src/heatherquay/transport/log.cpp
+++ b/src/heatherquay/transport/log.cpp
@@ -6,6 +6,7 @@
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 namespace heatherquay::transport
@@ -117,4 +118,9 @@
     target->forcedLog(log4cxxLevel, line, LOG4CXX_LOCATION);
 }
 
+void closeLog()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 } // namespace heatherquay::transport
--- a/src/heatherquay/transport/log.hpp
+++ b/src/heatherquay/transport/log.hpp
@@ -32,4 +32,8 @@
 /// @param event name in lower case with hyphens, such as "member-removed"
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// Writes the lines in the queue and ends the thread; for a process that ends without the destructors of static
+/// objects.
+void closeLog();
+
 } // namespace heatherquay::transport
--- a/tests/system/entries_test.cpp
+++ b/tests/system/entries_test.cpp
@@ -6,6 +6,9 @@
 #include "system/caller.hpp"
 #include "system/entry_process.hpp"
 
+#include <fstream>
+#include <future>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
@@ -30,6 +33,7 @@
     boost::asio::io_context io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard{io.get_executor()};
     std::filesystem::path directory;
+    std::string stopWithin{"30s"};
     standins::StandinTable table{io.get_executor()};
     standins::StandinObjects objects{io.get_executor()};
     standins::StandinVms vms{io.get_executor()};
@@ -75,9 +79,10 @@
             + "failure_domain = \"suva\"\npeer_secret = \"s\"\n[listen]\ncallers = " + listenAddress(entry, 0)
             + "operators = " + listenAddress(entry, 1) + "peers = " + listenAddress(entry, 2) + "[table]\naddress = \""
             + table.address() + "\"\n[object_store]\naddress = \"" + objects.address() + "\"\n[vm_list]\naddress = \""
-            + vms.address() + "\"\nevery = \"200ms\"\n[stop]\ndrain_for = \"500ms\"\n[[team]]\nid = \"guitars\"\n"
-            + "token_sha256 = [\"" + callerTokenHash + "\"]\n[[operator]]\nname = \"o\"\ntoken_sha256 = [\""
-            + operatorTokenHash + "\"]\n[[service]]\nid = \"hire-desk\"\nrequest_timeout = \"4s\"\n";
+            + vms.address() + "\"\nevery = \"200ms\"\n[stop]\ndrain_for = \"500ms\"\nstop_within = \"" + stopWithin
+            + "\"\n[[team]]\nid = \"guitars\"\n" + "token_sha256 = [\"" + callerTokenHash
+            + "\"]\n[[operator]]\nname = \"o\"\ntoken_sha256 = [\"" + operatorTokenHash
+            + "\"]\n[[service]]\nid = \"hire-desk\"\nrequest_timeout = \"4s\"\n";
         return text;
     }
     void start(std::size_t entry)
@@ -218,6 +223,30 @@
     checkInvariants(load);
 }
 
+// Guards against requests that end without a response because they outlast the time for a stop.
+BOOST_FIXTURE_TEST_CASE(system_requests_that_outlast_a_stop_are_answered, SystemFixture)
+{
+    stopWithin = "1500ms";
+    startEntries(1);
+    std::vector<std::future<CallerResponse>> responses;
+    for (int i = 0; i < 8; ++i) {
+        responses.push_back(std::async(std::launch::async, [this] {
+            return sendOnce(callerPort(0), "POST", "/services/hire-desk/?ms=3500", "", "", "");
+        }));
+    }
+    std::this_thread::sleep_for(300ms);
+    entries.front()->signal(SIGTERM);
+    for (std::future<CallerResponse> &future : responses) {
+        const CallerResponse response = future.get();
+        BOOST_TEST(response.status == 504U);
+        BOOST_TEST(response.outcome == "unknown");
+    }
+    BOOST_TEST(entries.front()->wait(6s).value_or(-1) == 3);
+    std::ifstream log(directory / "e0.log");
+    const std::string lines{std::istreambuf_iterator<char>(log), {}};
+    BOOST_TEST(lines.find("stopped in_time=false") != std::string::npos, lines.substr(lines.size() / 2));
+}
+
 // Guards against an entry that exceeds the limits of endpoints because it acts on outdated state after it was
 // suspended.
 BOOST_FIXTURE_TEST_CASE(system_resumed_entry_does_not_exceed_the_limits, SystemFixture)
--- a/tests/system/graceful_stop_test.cpp
+++ b/tests/system/graceful_stop_test.cpp
@@ -35,8 +35,7 @@
         platform.configure(R"({"version":2,"routes":[{"name":"batch","host":"jobs.example","prefix":"/batch/",)"
                            R"("service":"service","priority":1,"maxAttempts":3,"stretch":3,"latencyTargetMs":1000,)"
                            R"("timeoutMs":)"
-                           + std::to_string(timeout.count())
-                           + R"(}],"tenants":[{"name":"t","apiKeys":["secret"]}]})");
+                           + std::to_string(timeout.count()) + R"(}],"tenants":[{"name":"t","apiKeys":["secret"]}]})");
         std::this_thread::sleep_for(1s);
     }
 
