Show a job's state only to its team and on its queue

The board does not hold the team. Change: the intake row names the team, and QueueTable::mayAccess() decides for state queries. Teams are compared, not keys, as the keys of a team change. A team or a queue that is not configured any more excludes nobody: after a renaming, its jobs stay visible. Rows without a team, of earlier versions or anonymous submissions, are visible to all callers of their queue; earlier versions skip the new field.

--- a/src/heatherquay/coordination/batch/acceptance.hpp
+++ b/src/heatherquay/coordination/batch/acceptance.hpp
@@ -53,7 +53,7 @@
         protocol::batch::RowTransaction transaction;
         transaction.conditions.push_back({jobRow(job.id), 0});
         transaction.puts.push_back({jobRow(job.id), protocol::batch::encodeJob(job)});
-        transaction.puts.push_back({intakeRow(job.id), encodeIntake({job.queue, false})});
+        transaction.puts.push_back({intakeRow(job.id), encodeIntake({job.queue, false, job.team})});
         bool mayBeStored = false;
         while (true) {
             const auto commit = co_await m_store.transact(transaction, remainingCallTime(deadline));
--- a/src/heatherquay/coordination/batch/job_board.cpp
+++ b/src/heatherquay/coordination/batch/job_board.cpp
@@ -14,6 +14,9 @@
     boost::json::object json;
     json["queue"] = record.queue;
     json["cancel"] = record.cancelRequested;
+    if (!record.team.value.empty()) {
+        json["team"] = record.team.value;
+    }
     return boost::json::serialize(json);
 }
 
@@ -22,14 +25,16 @@
     boost::system::error_code error;
     const boost::json::value json = boost::json::parse(text, error);
     if (error) {
-        throw Error(
-            ErrorKind::BadInput, "intake record is not JSON: " + error.message(),
-            "remove the row, or restore a JSON object with the string \"queue\" and the optional boolean \"cancel\"");
+        throw Error(ErrorKind::BadInput, "intake record is not JSON: " + error.message(),
+                    "remove the row, or restore a JSON object with the string \"queue\", the optional boolean "
+                    "\"cancel\" and the "
+                    "optional string \"team\"");
     }
     IntakeRecord record;
     protocol::detail::FieldReader reader(json, "intake");
     reader("queue", record.queue);
     reader.optional("cancel", record.cancelRequested);
+    reader.optional("team", record.team.value);
     return record;
 }
 
@@ -59,6 +64,7 @@
             const IntakeRecord record = decodeIntake(row.value);
             BoardEntry &entry = m_jobs[job];
             entry.queue = record.queue;
+            entry.team = record.team;
             entry.accepted = true;
             entry.cancelRequested = record.cancelRequested;
         } else {
--- a/src/heatherquay/coordination/batch/job_board.hpp
+++ b/src/heatherquay/coordination/batch/job_board.hpp
@@ -15,6 +15,7 @@
 struct BoardEntry
 {
     std::string queue;
+    state::TeamId team; ///< Empty when the intake row names none.
     bool accepted{}; ///< The intake row has been seen.
     bool cancelRequested{};
     std::uint64_t statusVersion{}; ///< Version of the status row; 0 when the decider has not written one yet.
@@ -26,6 +27,7 @@
 {
     std::string queue;
     bool cancelRequested{};
+    state::TeamId team; ///< Empty for a submission without a key, and in rows of earlier versions.
 };
 
 /// @return the record as JSON text for the intake row
--- a/src/heatherquay/coordination/batch/queue_table.cpp
+++ b/src/heatherquay/coordination/batch/queue_table.cpp
@@ -41,6 +41,31 @@
     return std::nullopt;
 }
 
+bool QueueTable::mayAccess(const JobOwner &owner, const Queue &queue, std::string_view key) const
+{
+    const bool sameQueue = owner.queue == queue.name;
+    const auto isOwnersQueue = [&owner](const Queue &other) {
+        return other.name == owner.queue;
+    };
+    if (!sameQueue && std::any_of(queues.begin(), queues.end(), isOwnersQueue)) {
+        return false;
+    }
+    if (owner.team.value.empty() || (sameQueue && queue.anonymous)) {
+        return true;
+    }
+    bool teamConfigured = false;
+    for (const TeamAccess &team : teams) {
+        if (team.id != owner.team) {
+            continue;
+        }
+        teamConfigured = true;
+        if (std::find(team.keys.begin(), team.keys.end(), key) != team.keys.end()) {
+            return true;
+        }
+    }
+    return !teamConfigured;
+}
+
 std::map<std::string, state::batch::QueuePolicy> QueueTable::policies() const
 {
     std::map<std::string, state::batch::QueuePolicy> result;
--- a/src/heatherquay/coordination/batch/queue_table.hpp
+++ b/src/heatherquay/coordination/batch/queue_table.hpp
@@ -32,6 +32,13 @@
     std::int64_t guaranteedAccelerators{};
 };
 
+/// To whom a job belongs.
+struct JobOwner
+{
+    std::string queue;
+    state::TeamId team; ///< Empty for a submission without a key, and in rows of earlier versions.
+};
+
 /// Limits of a submitted request.
 struct IntakeLimits
 {
@@ -51,6 +58,10 @@
     const Queue *findQueue(std::string_view host, std::string_view path) const;
     /// @return the team that owns @p key; nothing when no team does
     std::optional<state::TeamId> findTeam(std::string_view key) const;
+    /// Compares teams, because the keys of a team change during the life of a job. A team or queue that is not
+    /// configured any more cannot be told apart from its successor under another name, so that it excludes no caller.
+    /// @return whether a request to @p queue with @p key may see and cancel a job
+    bool mayAccess(const JobOwner &owner, const Queue &queue, std::string_view key) const;
     std::map<std::string, state::batch::QueuePolicy> policies() const;
     std::vector<state::batch::TeamGuarantee> guarantees() const;
 };
