Let only a job's team cancel it, on its queue

Change: Acceptance::cancel() asks the same check as state queries with the intake row that it reads anyway, and reports a foreign job as one that does not exist.

--- a/src/heatherquay/coordination/batch/acceptance.hpp
+++ b/src/heatherquay/coordination/batch/acceptance.hpp
@@ -2,10 +2,12 @@
 
 #include "heatherquay/coordination/batch/job_board.hpp"
 #include "heatherquay/coordination/batch/layout.hpp"
+#include "heatherquay/coordination/batch/queue_table.hpp"
 #include "heatherquay/protocol/batch/record_codec.hpp"
 #include "heatherquay/protocol/wait.hpp"
 
 #include <chrono>
+#include <concepts>
 
 namespace heatherquay::coordination::batch
 {
@@ -72,8 +74,10 @@
     }
 
     /// Records a request to cancel a job.
+    /// @param mayAccess whether the caller may cancel the jobs of an owner; other jobs do not exist for it
     /// @param deadline no attempt starts after this time
-    boost::asio::awaitable<CancelOutcome> cancel(const state::JobId &job, Clock::time_point deadline)
+    template<std::predicate<const JobOwner &> Access>
+    boost::asio::awaitable<CancelOutcome> cancel(const state::JobId &job, Access mayAccess, Clock::time_point deadline)
     {
         while (Clock::now() < deadline) {
             const auto found = co_await readIntake(job, deadline);
@@ -82,6 +86,9 @@
             }
             if (found.ok) {
                 IntakeRecord record = decodeIntake(found.row->value);
+                if (!mayAccess(JobOwner{record.queue, record.team})) {
+                    co_return CancelOutcome::NoSuchJob;
+                }
                 if (record.cancelRequested) {
                     co_return CancelOutcome::Recorded;
                 }
--- a/tests/platform/job_access_test.cpp
+++ b/tests/platform/job_access_test.cpp
@@ -115,6 +115,13 @@
         return response.status;
     }
 
+    std::string stored(const protocol::batch::RowKey &key)
+    {
+        return emulator.runOnEmulatorThread([&key](test::PlatformEmulator &self) {
+            return self.store().value(key);
+        });
+    }
+
     void store(const protocol::batch::RowKey &key, const std::string &value)
     {
         emulator.runOnEmulatorThread([&](test::PlatformEmulator &self) {
@@ -131,6 +138,11 @@
         }));
     }
 
+    bool cancelled(const std::string &job)
+    {
+        return decodeIntake(stored(intakeRow({job}))).cancelRequested;
+    }
+
     boost::asio::io_context context;
     test::PlatformEmulator emulator;
     EntryFixture entry;
@@ -268,6 +280,20 @@
     BOOST_TEST(call("DELETE", "/open/" + jobB, "") == 200U);
 }
 
+// Guards against a cancellation by another team, or under the prefix of another queue.
+BOOST_AUTO_TEST_CASE(a_job_is_cancelled_only_by_its_team_on_its_queue)
+{
+    call("POST", "/batch/" + jobA, "red-1");
+    BOOST_TEST(call("DELETE", "/batch/" + jobA, "blue-1") == 410U);
+    BOOST_TEST(call("DELETE", "/night/" + jobA, "red-1") == 410U);
+    BOOST_TEST(call("DELETE", "/open/" + jobA, "") == 410U);
+    BOOST_TEST(!cancelled(jobA));
+    BOOST_TEST(call("DELETE", "/batch/" + jobA, "red-2") == 200U);
+    BOOST_TEST(cancelled(jobA));
+    BOOST_TEST(call("DELETE", "/batch/" + jobA, "blue-1") == 410U);
+    BOOST_TEST(call("GET", "/batch/" + jobA, "blue-1") == 410U); // The cancellation keeps the team.
+}
+
 // Guards against a peer that answers a relayed request without the caller's key or queue.
 BOOST_AUTO_TEST_CASE(relayed_requests_are_checked_by_the_peer)
 {
@@ -276,6 +302,9 @@
     BOOST_TEST(call("GET", "/batch/" + jobA, "red-2") == 200U);
     BOOST_TEST(call("GET", "/batch/" + jobA, "blue-1") == 410U);
     BOOST_TEST(call("GET", "/night/" + jobA, "red-1") == 410U);
+    BOOST_TEST(call("DELETE", "/batch/" + jobA, "blue-1") == 410U);
+    BOOST_TEST(!cancelled(jobA));
+    BOOST_TEST(call("DELETE", "/batch/" + jobA, "red-1") == 200U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
