Refuse a job whose id is in use by another team or queue

Cause: a submission whose id is stored already is answered with 200, whoever stored it. Change: the store's conflict returns the stored job; where the caller may not access it, the answer is 409 "the job id is taken; submit the job under another one", which tells nothing else of that job. The same caller's repeated request still gets 200, with a new key of its team and after a lost answer too. No call to the store is added. The two tests of the choice between answers play 409 of a peer too.

--- a/src/heatherquay/coordination/batch/acceptance.hpp
+++ b/src/heatherquay/coordination/batch/acceptance.hpp
@@ -3,11 +3,14 @@
 #include "heatherquay/coordination/batch/job_board.hpp"
 #include "heatherquay/coordination/batch/layout.hpp"
 #include "heatherquay/coordination/batch/queue_table.hpp"
+#include "heatherquay/error.hpp"
 #include "heatherquay/protocol/batch/record_codec.hpp"
 #include "heatherquay/protocol/wait.hpp"
 
 #include <chrono>
 #include <concepts>
+#include <optional>
+#include <vector>
 
 namespace heatherquay::coordination::batch
 {
@@ -16,6 +19,7 @@
 enum class AcceptOutcome
 {
     Accepted, ///< The job is stored, by this or by an earlier call with the same id.
+    IdTaken, ///< The id belongs to a job that the caller may not access; this job is not stored.
     NotStored, ///< This call did not store the job and will not store it later.
     Unknown ///< The job may be stored already or may still be stored later.
 };
@@ -49,8 +53,11 @@
     }
 
     /// Stores a job. When an answer is lost, the same conditional transaction is sent again; it takes effect once.
+    /// @param mayAccess whether the caller may access the jobs of an owner, for the case that the id is in use
     /// @param deadline no retry starts after this time
-    boost::asio::awaitable<AcceptOutcome> submit(const state::batch::JobSpec &job, Clock::time_point deadline)
+    template<std::predicate<const JobOwner &> Access>
+    boost::asio::awaitable<AcceptOutcome> submit(const state::batch::JobSpec &job, Access mayAccess,
+                                                 Clock::time_point deadline)
     {
         protocol::batch::RowTransaction transaction;
         transaction.conditions.push_back({jobRow(job.id), 0});
@@ -59,10 +66,13 @@
         bool mayBeStored = false;
         while (true) {
             const auto commit = co_await m_store.transact(transaction, remainingCallTime(deadline));
-            if (commit.status == protocol::CommitStatus::Committed
-                || commit.status == protocol::CommitStatus::Conflict) {
+            if (commit.status == protocol::CommitStatus::Committed) {
                 co_return AcceptOutcome::Accepted;
             }
+            if (commit.status == protocol::CommitStatus::Conflict) {
+                const auto owner = ownerOfStoredJob(commit.current);
+                co_return !owner || mayAccess(*owner) ? AcceptOutcome::Accepted : AcceptOutcome::IdTaken;
+            }
             mayBeStored = mayBeStored || commit.status == protocol::CommitStatus::Unknown;
             // After a definite failure the caller can try another entry process at once.
             if (!mayBeStored || Clock::now() + m_times.retryDelay >= deadline) {
@@ -134,6 +144,20 @@
     }
 
 private:
+    /// @return nothing when the store did not return a readable row
+    static std::optional<JobOwner> ownerOfStoredJob(const std::vector<protocol::batch::StoredRow> &rows)
+    {
+        if (rows.empty()) {
+            return std::nullopt;
+        }
+        try {
+            const state::batch::JobSpec stored = protocol::batch::decodeJob(rows.front().value);
+            return JobOwner{stored.queue, stored.team};
+        } catch (const Error &) {
+            return std::nullopt;
+        }
+    }
+
     std::chrono::milliseconds remainingCallTime(Clock::time_point deadline) const
     {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now());
--- a/tests/batch/decider_fixture.hpp
+++ b/tests/batch/decider_fixture.hpp
@@ -196,7 +196,10 @@
             context,
             [&]() -> boost::asio::awaitable<void> {
                 Acceptance<MemoryStore> acceptance(store);
-                const auto outcome = co_await acceptance.submit(job, std::chrono::steady_clock::now() + 1s);
+                const auto anyOwner = [](const JobOwner &) {
+                    return true;
+                };
+                const auto outcome = co_await acceptance.submit(job, anyOwner, std::chrono::steady_clock::now() + 1s);
                 accepted = outcome == AcceptOutcome::Accepted;
             },
             boost::asio::detached);
--- a/tests/platform/ingress_test.cpp
+++ b/tests/platform/ingress_test.cpp
@@ -26,14 +26,14 @@
 // Guards against returning 401 for a job that runs later: a store transaction without a response can be applied seconds
 // later, while a peer with a newer configuration rejects the job's key.
 BOOST_DATA_TEST_CASE(peer_rejections_are_not_returned_while_the_job_may_be_stored,
-                     boost::unit_test::data::make({0U, 400U, 401U, 404U, 429U, 503U, 504U}), status)
+                     boost::unit_test::data::make({0U, 400U, 401U, 404U, 409U, 429U, 503U, 504U}), status)
 {
     BOOST_TEST(platform::chooseSubmissionResponse(true, peerAnswer(status)).status == 504U);
 }
 
 // Guards against hiding a peer's status from the caller when the outcome is certain.
 BOOST_DATA_TEST_CASE(the_peer_response_is_returned_when_nothing_was_stored_here,
-                     boost::unit_test::data::make({200U, 401U, 404U, 503U, 504U}), status)
+                     boost::unit_test::data::make({200U, 401U, 404U, 409U, 503U, 504U}), status)
 {
     BOOST_TEST(platform::chooseSubmissionResponse(false, peerAnswer(status)).status == status);
 }
--- a/tests/platform/job_access_test.cpp
+++ b/tests/platform/job_access_test.cpp
@@ -1,5 +1,6 @@
 #include "emulator/platform_emulator.hpp"
 #include "heatherquay/coordination/batch/layout.hpp"
+#include "heatherquay/protocol/batch/record_codec.hpp"
 #include "heatherquay/transport/http_server.hpp"
 #include "platform/ingress.hpp"
 #include "platform/wire_records.hpp"
@@ -294,11 +295,50 @@
     BOOST_TEST(call("GET", "/batch/" + jobA, "blue-1") == 410U); // The cancellation keeps the team.
 }
 
+// Guards against 200 for a job that never runs because its id is taken, and against one that replaces the other.
+BOOST_AUTO_TEST_CASE(an_id_that_another_team_or_queue_uses_is_refused)
+{
+    BOOST_TEST(call("POST", "/batch/" + jobA, "red-1") == 200U);
+    const std::string job = stored(jobRow({jobA}));
+    BOOST_TEST(call("POST", "/batch/" + jobA, "blue-1") == 409U);
+    BOOST_TEST(body == R"({"error":"the job id is taken; submit the job under another one"})");
+    BOOST_TEST(call("POST", "/night/" + jobA, "red-1") == 409U);
+    BOOST_TEST(call("POST", "/open/" + jobA, "") == 409U);
+    BOOST_TEST(call("POST", "/batch/" + jobA, "red-2") == 200U); // It remains one job.
+    BOOST_TEST(stored(jobRow({jobA})) == job);
+    BOOST_TEST(call("GET", "/batch/" + jobA, "red-1") == 200U);
+}
+
+// Guards against 409 for the repeated request of a caller whose first answer was lost.
+BOOST_AUTO_TEST_CASE(a_submission_after_a_lost_answer_is_accepted)
+{
+    emulator.runOnEmulatorThread([](test::PlatformEmulator &self) {
+        self.store().loseResponses = 1;
+        return true;
+    });
+    BOOST_TEST(call("POST", "/batch/" + jobA, "red-1") == 200U);
+    BOOST_TEST(call("POST", "/batch/" + jobA, "red-2") == 200U);
+}
+
+// Guards against 409 for the repeated request of a job that an earlier version stored without a team.
+BOOST_AUTO_TEST_CASE(a_job_stored_without_a_team_remains_one_job)
+{
+    state::batch::JobSpec job = platform::parseSubmission(submission);
+    job.id.value = jobA;
+    job.queue = "batch";
+    job.policy.service = "s";
+    store(jobRow(job.id), protocol::batch::encodeJob(job));
+    store(intakeRow(job.id), R"({"queue":"batch","cancel":false})");
+    BOOST_TEST(call("POST", "/batch/" + jobA, "red-1") == 200U);
+    BOOST_TEST(call("POST", "/night/" + jobA, "red-1") == 409U);
+}
+
 // Guards against a peer that answers a relayed request without the caller's key or queue.
 BOOST_AUTO_TEST_CASE(relayed_requests_are_checked_by_the_peer)
 {
     entry.fresh = false;
     BOOST_TEST(call("POST", "/batch/" + jobA, "red-1") == 200U);
+    BOOST_TEST(call("POST", "/batch/" + jobA, "blue-1") == 409U);
     BOOST_TEST(call("GET", "/batch/" + jobA, "red-2") == 200U);
     BOOST_TEST(call("GET", "/batch/" + jobA, "blue-1") == 410U);
     BOOST_TEST(call("GET", "/night/" + jobA, "red-1") == 410U);
