--- a/src/heatherquay/coordination/batch/job_board.cpp
+++ b/src/heatherquay/coordination/batch/job_board.cpp
@@ -6,6 +6,8 @@
 #include "heatherquay/protocol/json_fields.hpp"
 #include "heatherquay/transport/log.hpp"
 
+#include <algorithm>
+
 namespace heatherquay::coordination::batch
 {
 
@@ -98,4 +100,11 @@
     return count;
 }
 
+std::size_t JobBoard::jobCount(const state::TeamId &team) const
+{
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&team](const auto &job) {
+        return job.second.team == team;
+    }));
+}
+
 } // namespace heatherquay::coordination::batch
--- a/src/heatherquay/coordination/batch/job_board.hpp
+++ b/src/heatherquay/coordination/batch/job_board.hpp
@@ -3,6 +3,7 @@
 #include "heatherquay/protocol/batch/row_store.hpp"
 #include "heatherquay/state/batch/progress.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -47,6 +48,8 @@
     std::optional<BoardEntry> find(const state::JobId &job) const;
     /// @return the number of jobs in @p queue that are accepted, not cancelled and still queued
     std::uint32_t queuedJobCount(const std::string &queue) const;
+    /// @return the number of jobs of @p team, ended ones included
+    std::size_t jobCount(const state::TeamId &team) const;
     const std::map<state::JobId, BoardEntry> &all() const
     {
         return m_jobs;
