Check the bounds of a job in one place for acceptance and decoding

Cause: acceptance and the decoder of stored jobs had bounds of their own. A job with estimateMs, targetMs or intervalMs of more than 100 years was answered with 200 and refused by the decider; 10,000,000 tasks, gangs of 10,000 and resources whose sums leave 64 bits were accepted. Change: state::batch::findProblem() holds the bounds; parseSubmission() names the field as steps[1].estimateMs, decodeJob() refuses the rest. The sample of the decoder's fuzz test had a step of no tasks, which no submission can have; it has one task now and the same fuzzing.

--- a/src/heatherquay/protocol/batch/record_codec.cpp
+++ b/src/heatherquay/protocol/batch/record_codec.cpp
@@ -1,6 +1,7 @@
 #include "heatherquay/protocol/batch/record_codec.hpp"
 
 #include "heatherquay/protocol/json_fields.hpp"
+#include "heatherquay/state/batch/job_limits.hpp"
 
 namespace heatherquay::protocol::detail
 {
@@ -181,7 +182,13 @@
 
 state::batch::JobSpec decodeJob(const std::string &text)
 {
-    return detail::decode<state::batch::JobSpec>(text, "job");
+    auto job = detail::decode<state::batch::JobSpec>(text, "job");
+    if (const auto problem = state::batch::findProblem(job)) {
+        const std::string step = problem->step ? "step " + std::to_string(*problem->step) : "the job";
+        throw Error(ErrorKind::BadInput, "a field of " + step + " " + problem->text,
+                    "submit the job with values within docs/job-limits.md");
+    }
+    return job;
 }
 
 std::string encodeOccurrence(const state::batch::OccurrenceRecord &record)
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -43,6 +43,7 @@
     job.payload = "text";
     job.steps.resize(2);
     job.steps[0].taskCount = 3;
+    job.steps[1].taskCount = 1;
     job.steps[1].dependsOn = {0};
     return job;
 }
--- a/tests/platform/wire_records_test.cpp
+++ b/tests/platform/wire_records_test.cpp
@@ -1,4 +1,5 @@
 #include "heatherquay/error.hpp"
+#include "heatherquay/protocol/batch/record_codec.hpp"
 #include "platform/advice_client.hpp"
 #include "platform/wire_json.hpp"
 #include "platform/wire_records.hpp"
@@ -50,6 +51,85 @@
     BOOST_CHECK_THROW(parseSubmission(body), Error);
 }
 
+/// @return a submission of one step with @p fields, and @p jobFields of the job
+std::string submissionWith(const std::string &fields, const std::string &jobFields = "")
+{
+    return R"({"steps":[{)" + fields + "}]" + jobFields + "}";
+}
+
+std::string repeatedSteps(std::size_t count, const std::string &fields)
+{
+    std::string steps = "{" + fields + "}";
+    for (std::size_t i = 1; i < count; ++i) {
+        steps += ",{" + fields + "}";
+    }
+    return R"({"steps":[)" + steps + "]}";
+}
+
+/// A field of a submission: a document at its bound, one beyond it, and the name in the refusal.
+struct BoundedField
+{
+    std::string name;
+    std::string atBound;
+    std::string beyond;
+};
+
+std::ostream &operator<<(std::ostream &out, const BoundedField &field)
+{
+    return out << field.name;
+}
+
+std::vector<BoundedField> boundedFields()
+{
+    const auto one = [](const std::string &name, const std::string &most, const std::string &beyond) {
+        return BoundedField{"steps[0]." + name, submissionWith(R"("count":1,")" + name + "\":" + most),
+                            submissionWith(R"("count":1,")" + name + "\":" + beyond)};
+    };
+    const auto ofJob = [](const std::string &name, const std::string &most, const std::string &beyond) {
+        return BoundedField{name, submissionWith(R"("count":1)", ",\"" + name + "\":" + most),
+                            submissionWith(R"("count":1)", ",\"" + name + "\":" + beyond)};
+    };
+    return {{"spec", submissionWith(R"("count":1)", R"(,"spec":")" + std::string(4'000, 'x') + "\""),
+             submissionWith(R"("count":1)", R"(,"spec":")" + std::string(4'001, 'x') + "\"")},
+            {"steps", repeatedSteps(1'000, R"("count":100)"), repeatedSteps(1'001, R"("count":1)")},
+            {"steps", repeatedSteps(10, R"("count":10000)"), repeatedSteps(11, R"("count":10000)")},
+            {"steps[0].count", submissionWith(R"("count":10000)"), submissionWith(R"("count":10001)")},
+            {"steps[0].count", submissionWith(R"("count":1)"), submissionWith(R"("count":0)")},
+            {"steps[0].count", submissionWith(R"("count":1000,"gang":true)"),
+             submissionWith(R"("count":1001,"gang":true)")},
+            {"steps[1].after", R"({"steps":[{"count":1},{"count":1,"after":[0]}]})",
+             R"({"steps":[{"count":1},{"count":1,"after":[1]}]})"},
+            one("cpu", "1000000000000", "1000000000001"),
+            one("memMb", "1000000000000", "1000000000001"),
+            one("gpu", "1000000000000", "1000000000001"),
+            one("estimateMs", "3153600000000", "3153600000001"),
+            one("targetMs", "3153600000000", "3153600000001"),
+            ofJob("intervalMs", "3153600000000", "3153600000001"),
+            ofJob("firstRunMs", "9223372036854775807", "9223372036854775808"),
+            ofJob("repetitions", "4294967295", "4294967296"),
+            {"antiAffinity", submissionWith(R"("count":1,"antiAffinity":4294967295)"),
+             submissionWith(R"("count":1,"antiAffinity":4294967296)")},
+            {"mayMiss", submissionWith(R"("count":1,"mayMiss":4294967295)"),
+             submissionWith(R"("count":1,"mayMiss":4294967296)")}};
+}
+
+// Guards against a job that is accepted and then refused by the decider, and against a refusal that names no field.
+BOOST_DATA_TEST_CASE(a_submission_is_carried_at_its_bounds_and_refused_beyond_them,
+                     boost::unit_test::data::make(boundedFields()), field)
+{
+    state::batch::JobSpec job = parseSubmission(field.atBound);
+    job.id.value = "5c0e7a21d94b36f8";
+    job.queue = "q";
+    BOOST_CHECK_NO_THROW(protocol::batch::decodeJob(protocol::batch::encodeJob(job)));
+    std::string refusal;
+    try {
+        parseSubmission(field.beyond);
+    } catch (const Error &error) {
+        refusal = error.what();
+    }
+    BOOST_TEST(refusal.find("\"" + field.name + "\"") != std::string::npos, refusal);
+}
+
 std::string registration(const std::string &address, const std::string &capacity)
 {
     return R"({"service":"s","address":")" + address + R"(","state":"ready","born":1,"capacity":)" + capacity + "}";
