--- a/src/heatherquay/coordination/batch/acceptance.hpp
+++ b/src/heatherquay/coordination/batch/acceptance.hpp
@@ -2,10 +2,15 @@
 
 #include "heatherquay/coordination/batch/job_board.hpp"
 #include "heatherquay/coordination/batch/layout.hpp"
+#include "heatherquay/coordination/batch/queue_table.hpp"
+#include "heatherquay/error.hpp"
 #include "heatherquay/protocol/batch/record_codec.hpp"
 #include "heatherquay/protocol/wait.hpp"
 
 #include <chrono>
+#include <concepts>
+#include <optional>
+#include <vector>
 
 namespace heatherquay::coordination::batch
 {
@@ -14,6 +19,7 @@
 enum class AcceptOutcome
 {
     Accepted, ///< The job is stored, by this or by an earlier call with the same id.
+    IdTaken, ///< The id belongs to a job that the caller may not access; this job is not stored.
     NotStored, ///< This call did not store the job and will not store it later.
     Unknown ///< The job may be stored already or may still be stored later.
 };
@@ -47,20 +53,26 @@
     }
 
     /// Stores a job. When an answer is lost, the same conditional transaction is sent again; it takes effect once.
+    /// @param mayAccess whether the caller may access the jobs of an owner, for the case that the id is in use
     /// @param deadline no retry starts after this time
-    boost::asio::awaitable<AcceptOutcome> submit(const state::batch::JobSpec &job, Clock::time_point deadline)
+    template<std::predicate<const JobOwner &> Access>
+    boost::asio::awaitable<AcceptOutcome> submit(const state::batch::JobSpec &job, Access mayAccess,
+                                                 Clock::time_point deadline)
     {
         protocol::batch::RowTransaction transaction;
         transaction.conditions.push_back({jobRow(job.id), 0});
         transaction.puts.push_back({jobRow(job.id), protocol::batch::encodeJob(job)});
-        transaction.puts.push_back({intakeRow(job.id), encodeIntake({job.queue, false})});
+        transaction.puts.push_back({intakeRow(job.id), encodeIntake({job.queue, false, job.team})});
         bool mayBeStored = false;
         while (true) {
             const auto commit = co_await m_store.transact(transaction, remainingCallTime(deadline));
-            if (commit.status == protocol::CommitStatus::Committed
-                || commit.status == protocol::CommitStatus::Conflict) {
+            if (commit.status == protocol::CommitStatus::Committed) {
                 co_return AcceptOutcome::Accepted;
             }
+            if (commit.status == protocol::CommitStatus::Conflict) {
+                const auto owner = ownerOfStoredJob(commit.current);
+                co_return !owner || mayAccess(*owner) ? AcceptOutcome::Accepted : AcceptOutcome::IdTaken;
+            }
             mayBeStored = mayBeStored || commit.status == protocol::CommitStatus::Unknown;
             // After a definite failure the caller can try another entry process at once.
             if (!mayBeStored || Clock::now() + m_times.retryDelay >= deadline) {
@@ -72,8 +84,10 @@
     }
 
     /// Records a request to cancel a job.
+    /// @param mayAccess whether the caller may cancel the jobs of an owner; other jobs do not exist for it
     /// @param deadline no attempt starts after this time
-    boost::asio::awaitable<CancelOutcome> cancel(const state::JobId &job, Clock::time_point deadline)
+    template<std::predicate<const JobOwner &> Access>
+    boost::asio::awaitable<CancelOutcome> cancel(const state::JobId &job, Access mayAccess, Clock::time_point deadline)
     {
         while (Clock::now() < deadline) {
             const auto found = co_await readIntake(job, deadline);
@@ -82,6 +96,9 @@
             }
             if (found.ok) {
                 IntakeRecord record = decodeIntake(found.row->value);
+                if (!mayAccess(JobOwner{record.queue, record.team})) {
+                    co_return CancelOutcome::NoSuchJob;
+                }
                 if (record.cancelRequested) {
                     co_return CancelOutcome::Recorded;
                 }
@@ -127,6 +144,20 @@
     }
 
 private:
+    /// @return nothing when the store did not return a readable row
+    static std::optional<JobOwner> ownerOfStoredJob(const std::vector<protocol::batch::StoredRow> &rows)
+    {
+        if (rows.empty()) {
+            return std::nullopt;
+        }
+        try {
+            const state::batch::JobSpec stored = protocol::batch::decodeJob(rows.front().value);
+            return JobOwner{stored.queue, stored.team};
+        } catch (const Error &) {
+            return std::nullopt;
+        }
+    }
+
     std::chrono::milliseconds remainingCallTime(Clock::time_point deadline) const
     {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now());
--- a/src/heatherquay/coordination/batch/job_board.cpp
+++ b/src/heatherquay/coordination/batch/job_board.cpp
@@ -6,6 +6,8 @@
 #include "heatherquay/protocol/json_fields.hpp"
 #include "heatherquay/transport/log.hpp"
 
+#include <algorithm>
+
 namespace heatherquay::coordination::batch
 {
 
@@ -14,6 +16,9 @@
     boost::json::object json;
     json["queue"] = record.queue;
     json["cancel"] = record.cancelRequested;
+    if (!record.team.value.empty()) {
+        json["team"] = record.team.value;
+    }
     return boost::json::serialize(json);
 }
 
@@ -22,14 +27,16 @@
     boost::system::error_code error;
     const boost::json::value json = boost::json::parse(text, error);
     if (error) {
-        throw Error(
-            ErrorKind::BadInput, "intake record is not JSON: " + error.message(),
-            "remove the row, or restore a JSON object with the string \"queue\" and the optional boolean \"cancel\"");
+        throw Error(ErrorKind::BadInput, "intake record is not JSON: " + error.message(),
+                    "remove the row, or restore a JSON object with the string \"queue\", the optional boolean "
+                    "\"cancel\" and the "
+                    "optional string \"team\"");
     }
     IntakeRecord record;
     protocol::detail::FieldReader reader(json, "intake");
     reader("queue", record.queue);
     reader.optional("cancel", record.cancelRequested);
+    reader.optional("team", record.team.value);
     return record;
 }
 
@@ -59,6 +66,7 @@
             const IntakeRecord record = decodeIntake(row.value);
             BoardEntry &entry = m_jobs[job];
             entry.queue = record.queue;
+            entry.team = record.team;
             entry.accepted = true;
             entry.cancelRequested = record.cancelRequested;
         } else {
@@ -92,4 +100,11 @@
     return count;
 }
 
+std::size_t JobBoard::jobCount(const state::TeamId &team) const
+{
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&team](const auto &job) {
+        return job.second.team == team;
+    }));
+}
+
 } // namespace heatherquay::coordination::batch
--- a/src/heatherquay/coordination/batch/job_board.hpp
+++ b/src/heatherquay/coordination/batch/job_board.hpp
@@ -3,6 +3,7 @@
 #include "heatherquay/protocol/batch/row_store.hpp"
 #include "heatherquay/state/batch/progress.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,6 +16,7 @@
 struct BoardEntry
 {
     std::string queue;
+    state::TeamId team; ///< Empty when the intake row names none.
     bool accepted{}; ///< The intake row has been seen.
     bool cancelRequested{};
     std::uint64_t statusVersion{}; ///< Version of the status row; 0 when the decider has not written one yet.
@@ -26,6 +28,7 @@
 {
     std::string queue;
     bool cancelRequested{};
+    state::TeamId team; ///< Empty for a submission without a key, and in rows of earlier versions.
 };
 
 /// @return the record as JSON text for the intake row
@@ -45,6 +48,8 @@
     std::optional<BoardEntry> find(const state::JobId &job) const;
     /// @return the number of jobs in @p queue that are accepted, not cancelled and still queued
     std::uint32_t queuedJobCount(const std::string &queue) const;
+    /// @return the number of jobs of @p team, ended ones included
+    std::size_t jobCount(const state::TeamId &team) const;
     const std::map<state::JobId, BoardEntry> &all() const
     {
         return m_jobs;
