--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -42,7 +42,8 @@
     for (auto run = m_runs.begin(); run != m_runs.end();) {
         const bool leaseExpired = clock() > m_leaseUntil;
         if (leaseExpired || now >= run->second.endsAt) {
-            recordEnd(run->first, run->second.number, leaseExpired ? EndKind::LeaseExpired : EndKind::Done);
+            const EndKind worked = endKind ? endKind(run->first, run->second.number) : EndKind::Done;
+            recordEnd(run->first, run->second.number, leaseExpired ? EndKind::LeaseExpired : worked);
             run = m_runs.erase(run);
         } else {
             ++run;
@@ -50,6 +51,15 @@
     }
 }
 
+std::vector<state::batch::TaskId> FakeWorker::activeTasks() const
+{
+    std::vector<state::batch::TaskId> tasks;
+    for (const auto &[task, run] : m_runs) {
+        tasks.push_back(task);
+    }
+    return tasks;
+}
+
 void FakeWorker::endRun(const state::batch::TaskId &task)
 {
     if (const auto run = m_runs.find(task); run != m_runs.end()) {
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,6 +55,8 @@
     {
         return m_runs.size();
     }
+    /// @return the tasks with active runs
+    std::vector<state::batch::TaskId> activeTasks() const;
     /// @return the end of the lease on the worker's clock
     protocol::batch::WorkerTime leaseUntil() const
     {
@@ -68,6 +71,8 @@
     state::batch::WorkerSpec spec;
     std::chrono::milliseconds taskDuration{100}; ///< Run time of every task.
     std::chrono::milliseconds leaseMax{10'000}; ///< Longer leases are shortened to this.
+    /// Returns how a run ends that has worked for taskDuration. Null ends every run as done.
+    std::function<state::batch::EndKind(const state::batch::TaskId &task, std::uint32_t run)> endKind;
     std::size_t endsPerAnswer{500}; ///< Largest number of ends in one answer.
     double clockRate{1}; ///< Rate of the worker's clock. Must not change during the test.
     bool unreachable{}; ///< The worker neither executes calls nor responds to them.
