Place a unit again whose worker restarts before its start is sent

A job that has evicted others for its place can stand still for ever: its worker comes back as a smaller machine under the same id, and the reservation waits for room that the machine does not have. In the same way, a start can go to a machine that has come back without the required label.

Cause: Scheduler::handleRestart() skips members that are reserved or planned. The reservation ends only when its worker drains, is out of reach or has room.

Evidence: test a_reservation_on_a_worker_that_came_back_smaller_is_given_up; the job never starts.

Change: the unit of a reserved or planned member is stopped, which releases it in the same pass, and placed again.

Why it works: nothing was sent for such a member, so no run can exist. The new placement reads the worker's new registration.

Result: the test failed before and passes now.

--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -205,7 +205,12 @@
 {
     const RunLocation run = findRun(ref);
     Member &member = *run.member;
+    if (member.phase == RunPhase::Gone) {
+        return;
+    }
     if (!detail::mayBeActive(member)) {
+        // Nothing was sent yet. The new incarnation may lack the room or the label, so the unit is placed again.
+        stopUnit(*run.unit);
         return;
     }
     member.incarnation = incarnation;
--- /dev/null
+++ b/tests/batch/stand_still_test.cpp
@@ -0,0 +1,48 @@
+// Work that must not wait while the pool has room for it.
+
+#include "batch/pool_simulation.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace heatherquay;
+using namespace heatherquay::state::batch;
+using namespace std::chrono_literals;
+using test::makeJob;
+using test::PoolSimulation;
+
+namespace
+{
+
+constexpr Resources machine{64'000, 256'000, 8};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(batch_stand_still)
+
+// Guards against a reservation that never ends: the worker has come back smaller.
+BOOST_AUTO_TEST_CASE(a_reservation_on_a_worker_that_came_back_smaller_is_given_up)
+{
+    PoolSimulation pool;
+    pool.setQueue("urgent", {"service", 0, 2, 3.0, 250ms});
+    const auto workers = pool.addWorkers(1, 8, machine);
+    pool.submit(makeJob("long", 1, {64'000, 200'000, 8}, 60'000ms));
+    pool.advance(50ms);
+    auto urgent = makeJob("a", 1, {60'000, 200'000, 8}, 500ms);
+    urgent.queue = "urgent";
+    pool.submit(urgent);
+    for (int i = 0; i < 500 && pool.latest.evictions.empty(); ++i) {
+        pool.advance(10ms);
+    }
+    BOOST_REQUIRE(!pool.latest.evictions.empty());
+    auto smaller = pool.worker(workers[0]).spec;
+    ++smaller.incarnation.value;
+    smaller.capacity = {32'000, 128'000, 4};
+    pool.worker(workers[0]).spec = smaller;
+    pool.cancel({"long"});
+    pool.scheduler().registerWorker(smaller, pool.now(), pool.now());
+    pool.addWorkers(1, 8, machine);
+    pool.advance(3s);
+    BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
