Skip only steps that need the same place as one that found none

A step can stand still for many seconds in an empty pool, as long as a like step that comes before it finds no place.

Cause: a pass skips a step when one of the same shape found no place. The shape lacked what else decides about that: the latency bound, best effort, sameRack, whether the step is a gang, and the priority, which decides about evictions.

Evidence: test a_step_starts_although_a_like_step_with_a_latency_bound_finds_no_place; the step did not start in 3 s.

Change: RequestShape holds all of these.

Why it works: two steps of one shape now pass the same checks in Placement, so that the second finds no place either.

--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -277,6 +277,24 @@
         Instant latestStart; ///< Wall time; a later start misses the next deadline.
     };
 
+    /// All that decides whether a step finds a place: steps of the same shape find one or none in the same pass.
+    struct RequestShape
+    {
+        std::string service;
+        std::uint32_t priority{}; ///< Decides which runs may be evicted.
+        std::int64_t cpuMillicores{};
+        std::int64_t memoryMegabytes{};
+        std::int64_t accelerators{};
+        std::string requiredLabel;
+        std::string dataRack;
+        std::uint32_t gangTasks{}; ///< 0 unless the step is a gang.
+        bool sameRack{};
+        bool bestEffort{};
+        bool latencyBound{};
+
+        friend auto operator<=>(const RequestShape &, const RequestShape &) = default; // NOLINT(modernize-use-nullptr)
+    };
+
     /// A unit that can be preempted.
     struct Victim
     {
@@ -348,6 +366,7 @@
     /// Starts reserved units whose victims have ended.
     void startReserved(Decision &decision);
     void placeReadySteps(Decision &decision, Instant now, Instant wall, std::size_t startsMax);
+    static RequestShape shapeOf(const ReadyStep &ready);
     std::vector<ReadyStep> readySteps(Instant wall);
     bool dependenciesDone(const Job &job, const Occurrence &occurrence, std::uint32_t step) const;
     bool placeReadyStep(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -120,12 +120,26 @@
     return request;
 }
 
+Scheduler::RequestShape Scheduler::shapeOf(const ReadyStep &ready)
+{
+    const StepSpec &step = ready.job->spec.steps[ready.step];
+    const Resources allocation = batch::allocationOf(step);
+    return {ready.job->policy.service,
+            ready.priority,
+            allocation.cpuMillicores,
+            allocation.memoryMegabytes,
+            allocation.accelerators,
+            step.requiredLabel,
+            step.dataRack,
+            step.gang ? step.taskCount : 0,
+            step.sameRack,
+            step.bestEffort,
+            step.tailLatencyTarget.count() > 0};
+}
+
 void Scheduler::placeReadySteps(Decision &decision, Instant now, Instant wall, std::size_t startsMax)
 {
-    // An identical request that found no place earlier in this pass is skipped.
-    using Shape
-        = std::tuple<std::string, std::int64_t, std::int64_t, std::int64_t, std::string, std::string, std::uint32_t>;
-    std::set<Shape> unplaceable;
+    std::set<RequestShape> unplaceable;
     std::set<std::string> reservedRacks;
     m_victims.clear();
     m_examined = 0;
@@ -144,10 +158,7 @@
             }
             continue;
         }
-        const Resources allocation = batch::allocationOf(step);
-        const Shape shape{ready.job->policy.service,     allocation.cpuMillicores, allocation.memoryMegabytes,
-                          allocation.accelerators,       step.requiredLabel,       step.dataRack,
-                          step.gang ? step.taskCount : 1};
+        const RequestShape shape = shapeOf(ready);
         if (!urgent && (unplaceable.contains(shape) || decision.starts.size() >= startsMax)) {
             continue;
         }
--- a/tests/batch/stand_still_test.cpp
+++ b/tests/batch/stand_still_test.cpp
@@ -19,6 +19,26 @@
 
 BOOST_AUTO_TEST_SUITE(batch_stand_still)
 
+// Guards against a step that is skipped because a like one with further conditions found no place.
+BOOST_AUTO_TEST_CASE(a_step_starts_although_a_like_step_with_a_latency_bound_finds_no_place)
+{
+    PoolSimulation pool;
+    pool.addWorkers(2, 8, machine);
+    auto fill = makeJob("fill", 2, {5'600, 29'000, 1}, 500ms);
+    fill.steps.front().perpetual = true;
+    fill.steps.front().bestEffort = true;
+    fill.steps.front().tasksPerWorkerMax = 1;
+    pool.submit(fill, 600'000ms);
+    pool.advance(500ms);
+    auto serving = makeJob("serving", 1, {5'600, 29'000, 1}, 5'000ms);
+    serving.steps.front().perpetual = true;
+    serving.steps.front().tailLatencyTarget = 100ms;
+    pool.submit(serving, 600'000ms);
+    pool.submit(makeJob("a", 1, {5'600, 29'000, 1}, 6'000ms), 500ms);
+    pool.advance(3s);
+    BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
+}
+
 // Guards against a reservation that never ends: the worker has come back smaller.
 BOOST_AUTO_TEST_CASE(a_reservation_on_a_worker_that_came_back_smaller_is_given_up)
 {
