Ask the advice service about all workers in turn

A step of a queue with advice stands still for ever in an idle pool when none of the 30 workers that it prefers is approved.

Cause: workersToAskAbout() takes the first 30 workers by rack, room and id, and does not remember who was refused. In an idle pool the order never changes, so that each call asks about the same workers. Besides, tickets of different calls shared one time of validity, and a new ticket did not replace an older one of the same worker.

Evidence: test a_step_starts_although_none_of_the_preferred_workers_is_approved, 48 workers of which the last three are approved; the step never started.

Change: the scheduler remembers the workers that a successful call refused, and asks about them last; workers with a ticket come before them, new ones first. Each ticket has its own time of validity.

Why it works: the answer about a worker does not change, so that after as many calls as there are portions of 30 workers, all are known.

--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -486,7 +486,8 @@
                         {"asked", std::to_string(order.workers.size())},
                         {"good", std::to_string(answer.tickets.size())},
                         {"error", answer.failure}});
-        m_scheduler.adviceAnswered(order.step, std::move(answer.tickets), answer.validity, now());
+        m_scheduler.adviceAnswered(order.step, answer.ok ? std::optional(std::move(answer.tickets)) : std::nullopt,
+                                   answer.validity, now());
         wake();
     }
     m_adviceLoopRunning = false;
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace heatherquay::state::batch
 {
@@ -599,17 +600,26 @@
     stopUnit(*located.unit);
 }
 
-void Scheduler::adviceAnswered(const StepId &step, std::map<WorkerId, std::string> tickets, Duration validity,
-                               Instant now)
+void Scheduler::adviceAnswered(const StepId &step, const std::optional<std::map<WorkerId, std::string>> &tickets,
+                               Duration validity, Instant now)
 {
     Advice &advice = m_advice[step];
     advice.asked = false;
     advice.askAgainAt = now + m_settings.adviceRetry;
-    if (now >= advice.validUntil) {
-        advice.tickets.clear();
+    const std::vector<WorkerId> askedAbout = std::exchange(advice.askedAbout, {});
+    if (!tickets) {
+        return;
+    }
+    for (const WorkerId &id : askedAbout) {
+        const auto ticket = tickets->find(id);
+        if (ticket == tickets->end()) {
+            advice.refused.insert(id);
+            continue;
+        }
+        advice.refused.erase(id);
+        advice.tickets[id] = ticket->second;
+        advice.validUntil[id] = now + validity;
     }
-    advice.validUntil = now + validity;
-    advice.tickets.merge(tickets);
 }
 
 void Scheduler::stopAnswered(const TaskId &task, std::uint32_t run, Instant now)
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -198,9 +198,10 @@
     void stopUnanswered(const TaskId &task, std::uint32_t run, Instant now);
 
     /// Handles the answer to an AdviceOrder.
-    /// @param tickets by worker that may run the step; empty when the call failed
+    /// @param tickets by worker that may run the step; nothing when the call failed
     /// @param validity lifetime of the tickets
-    void adviceAnswered(const StepId &step, std::map<WorkerId, std::string> tickets, Duration validity, Instant now);
+    void adviceAnswered(const StepId &step, const std::optional<std::map<WorkerId, std::string>> &tickets,
+                        Duration validity, Instant now);
 
     /// Runs one scheduling pass.
     /// @param now steady clock
@@ -256,7 +257,9 @@
     struct Advice
     {
         std::map<WorkerId, std::string> tickets;
-        Instant validUntil;
+        std::map<WorkerId, Instant> validUntil; ///< Of the tickets.
+        std::set<WorkerId> refused; ///< Workers that may not run the step. They are asked about last.
+        std::vector<WorkerId> askedAbout; ///< By the call in progress.
         bool asked{}; ///< A call is in progress.
         Instant askAgainAt;
     };
@@ -395,7 +398,7 @@
     double lostWorkOf(const Job &job, const Unit &unit, Instant now) const;
     std::string ticketFor(const Job &job, const Occurrence &occurrence, const Unit &unit, const Member &member) const;
     const Advice *adviceFor(const ReadyStep &ready, Decision &decision, Instant now);
-    std::vector<WorkerId> workersToAskAbout(const ReadyStep &ready) const;
+    std::vector<WorkerId> workersToAskAbout(const ReadyStep &ready, const Advice &advice) const;
     /// Adds @p change to the worker's run counts.
     void countRun(Worker &worker, const Job &job, const Unit &unit, int change) const;
     /// Allocates resources on the chosen workers to the unit.
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -234,16 +234,19 @@
 {
     const StepId id{ready.job->spec.id, ready.occurrence->number, ready.step};
     Advice &advice = m_advice[id];
-    const bool valid = !advice.tickets.empty() && now + detail::ticketValidityMargin < advice.validUntil;
+    std::erase_if(advice.tickets, [&](const auto &ticket) {
+        return now + detail::ticketValidityMargin >= advice.validUntil.at(ticket.first);
+    });
     // Asks again even while tickets are valid: the step still waits, so the approved workers may not suffice.
     if (!advice.asked && now >= advice.askAgainAt) {
         advice.asked = true;
-        decision.advice.push_back({id, workersToAskAbout(ready)});
+        advice.askedAbout = workersToAskAbout(ready, advice);
+        decision.advice.push_back({id, advice.askedAbout});
     }
-    return valid ? &advice : nullptr;
+    return advice.tickets.empty() ? nullptr : &advice;
 }
 
-std::vector<WorkerId> Scheduler::workersToAskAbout(const ReadyStep &ready) const
+std::vector<WorkerId> Scheduler::workersToAskAbout(const ReadyStep &ready, const Advice &advice) const
 {
     const StepSpec &step = ready.job->spec.steps[ready.step];
     std::vector<const Worker *> suitable;
@@ -255,10 +258,12 @@
             suitable.push_back(&worker);
         }
     }
-    // Prefers workers in the data's rack, then workers with enough free resources.
-    const auto rank = [&step](const Worker *worker) {
+    // New workers come first, so that all are asked about in turn. Of these, prefers workers in the data's rack, then
+    // workers with enough free resources.
+    const auto rank = [&](const Worker *worker) {
         const bool far = !step.dataRack.empty() && worker->spec.rack != step.dataRack;
-        return std::tuple(far, !batch::allocationOf(step).fitsIn(worker->free()), worker->spec.rack, worker->spec.id);
+        return std::tuple(advice.refused.contains(worker->spec.id), advice.tickets.contains(worker->spec.id), far,
+                          !batch::allocationOf(step).fitsIn(worker->free()), worker->spec.rack, worker->spec.id);
     };
     std::sort(suitable.begin(), suitable.end(), [&rank](const Worker *left, const Worker *right) {
         return rank(left) < rank(right);
--- a/tests/batch/stand_still_test.cpp
+++ b/tests/batch/stand_still_test.cpp
@@ -15,10 +15,32 @@
 
 constexpr Resources machine{64'000, 256'000, 8};
 
+QueuePolicy advisedPolicy()
+{
+    QueuePolicy policy{"service", 1, 2, 3.0, 1'000ms};
+    policy.advice = AdviceTiming{10ms, 1ms, 1s};
+    return policy;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(batch_stand_still)
 
+// Guards against asking about the same preferred workers again and again while others could run the step.
+BOOST_AUTO_TEST_CASE(a_step_starts_although_none_of_the_preferred_workers_is_approved)
+{
+    PoolSimulation pool;
+    pool.setQueue("advised", advisedPolicy());
+    const auto workers = pool.addWorkers(48, 8, machine);
+    pool.advised = {workers[45], workers[46], workers[47]};
+    auto job = makeJob("a", 1, {5'600, 29'000, 1}, 500ms);
+    job.queue = "advised";
+    pool.submit(job);
+    pool.advance(3s);
+    BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
+    BOOST_TEST(pool.violations.empty());
+}
+
 // Guards against a step that is skipped because a like one with further conditions found no place.
 BOOST_AUTO_TEST_CASE(a_step_starts_although_a_like_step_with_a_latency_bound_finds_no_place)
 {
