Take any place after two seconds in a pool with room

Cause: some preferences had no end. A step with its data in a rack waits for this rack as long as the rack could hold it when idle, also when lasting tasks fill the rack, or none of its workers is approved by the advice service. A gang with sameRack waits for one rack in the same way. Workers in quarantine, for 3 to 12 s, count as not there, and jobs whose tasks fail everywhere put all workers of a small pool, or of the rack that a job needs, in quarantine.

Evidence: tests of the suite batch_stand_still; on the code before, a step did not start in 5 s beside a rack filled with lasting tasks and five idle racks, never without an approved worker near its data, a gang never when no rack had enough approved workers, and a job not in 3 s after four failing jobs in a pool of 8 idle workers.

Change: while less than half of the service is allocated (accelerators count as eight cores), a step whose turn came 2 s ago and that finds no place as it prefers takes any place: any rack, also a reserved one, and workers in quarantine where no other fits.

Why it works: in a pool with room, nothing better comes from waiting, and a slow run is better than none. In a fuller pool, the preferences hold as before, because the resources of a slow run would be missing elsewhere.

--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -20,6 +20,7 @@
 // Assumed of a worker whose speed is not measured yet, between a normal and a slow one.
 constexpr double unmeasuredSlowness = 1.2;
 constexpr double avoidedWorkerPenalty = 1'000.0; // The worker of the last failure is the last resort.
+constexpr double quarantinePenalty = 500.0; // Such a worker comes last, but before the one of the last failure.
 constexpr double lostWorkWeight = 0.1; // Per core-second of work lost by eviction.
 
 std::uint32_t copiesThatFit(const Resources &need, const Resources &available)
@@ -91,14 +92,17 @@
     const StepSpec &step = *request.step;
     const Resources allocation = allocationOf(step);
     for (const auto &[id, worker] : m_pool.all()) {
-        if (worker.spec.service != request.service || !m_pool.acceptsRuns(worker, m_now)
+        const bool accepts = m_pool.acceptsRuns(worker, m_now);
+        const bool usable = request.anyPlace ? WorkerPool::isUsable(worker) : accepts;
+        if (worker.spec.service != request.service || !usable
             || (!step.requiredLabel.empty() && !worker.hasLabel(step.requiredLabel))
             || worker.slowness > request.slownessMax || detail::interferes(step, worker)
             || (request.tickets != nullptr && !request.tickets->contains(id))
             || (request.reservedRacks != nullptr && request.reservedRacks->contains(worker.spec.rack))) {
             continue;
         }
-        Candidate candidate{&worker, worker.free(), std::numeric_limits<std::uint32_t>::max(), id == request.avoided};
+        Candidate candidate{&worker, worker.free(), std::numeric_limits<std::uint32_t>::max(), id == request.avoided,
+                            !accepts};
         if (step.tasksPerWorkerMax > 0) {
             const auto there = request.stepTasks.find(id);
             const std::uint32_t running = there == request.stepTasks.end() ? 0 : there->second;
@@ -182,6 +186,9 @@
     if (candidate.avoided) {
         score += detail::avoidedWorkerPenalty;
     }
+    if (candidate.quarantined) {
+        score += detail::quarantinePenalty;
+    }
     if (!eviction->units.empty()) {
         score += detail::lostWorkWeight * eviction->cost + 1;
     }
@@ -290,7 +297,7 @@
                                                               const Candidates &pool) const
 {
     const StepSpec &step = *request.step;
-    const bool prefersOneRack = detail::needsSingleRack(step) || !step.dataRack.empty();
+    const bool prefersOneRack = !request.anyPlace && (detail::needsSingleRack(step) || !step.dataRack.empty());
     if (!prefersOneRack) {
         double cost = 0;
         return placeTasks(pool, request, cost);
--- a/src/heatherquay/state/batch/placement.hpp
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -30,6 +30,8 @@
     bool urgent{};
     double slownessMax{std::numeric_limits<double>::max()}; ///< Slower workers are excluded.
     const std::map<WorkerId, std::string> *tickets{}; ///< Only these workers may be used; null allows any.
+    /// Uses racks other than the preferred one, and workers in quarantine where no other fits.
+    bool anyPlace{};
     const std::set<std::string> *reservedRacks{}; ///< Racks reserved for other gangs; null for none.
 };
 
@@ -85,6 +87,7 @@
         Resources available; ///< Free resources, including those of runs that are already stopping.
         std::uint32_t tasksLeft{}; ///< Further tasks that tasksPerWorkerMax allows.
         bool avoided{};
+        bool quarantined{};
         const ReclaimableResources *reclaimable{};
     };
     using Candidates = std::vector<Candidate>;
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -37,6 +37,10 @@
     /// progress. Leaves room for an estimate that is a tenth of the length and a worker of a quarter of the usual
     /// speed.
     double hungShareBeforeProgress{0.45};
+    /// How long a step waits for the rack or the healthy workers that it prefers while less than this share of its
+    /// service is in use. Then it takes any place, because a slow run is better than none.
+    Duration preferenceWait{2'000};
+    double preferenceUseMax{0.5};
     std::uint32_t reservedRacksMax{2}; ///< Racks reserved for gangs at the same time; a third of a small pool.
     /// Pause after a gang or an urgent step found no place; doubles with each further failure. A search over all
     /// workers takes milliseconds.
@@ -294,6 +298,7 @@
         bool sameRack{};
         bool bestEffort{};
         bool latencyBound{};
+        bool anyPlace{};
 
         friend auto operator<=>(const RequestShape &, const RequestShape &) = default; // NOLINT(modernize-use-nullptr)
     };
@@ -369,7 +374,14 @@
     /// Starts reserved units whose victims have ended.
     void startReserved(Decision &decision);
     void placeReadySteps(Decision &decision, Instant now, Instant wall, std::size_t startsMax);
-    static RequestShape shapeOf(const ReadyStep &ready);
+    RequestShape shapeOf(const ReadyStep &ready, Instant now);
+    /// Places a step that has waited too long for a preferred place on any free resources.
+    /// @return whether all waiting units of the step have a place
+    bool placeAnywhere(const ReadyStep &ready, Decision &decision, Instant now, std::size_t startsMax);
+    /// @return whether the step has waited for preferenceWait in a service with enough room
+    bool takesAnyPlace(const ReadyStep &ready, Instant now);
+    /// @return the share of the service's capacity that is allocated; computed once a pass
+    double usedShare(const std::string &service);
     std::vector<ReadyStep> readySteps(Instant wall);
     bool dependenciesDone(const Job &job, const Occurrence &occurrence, std::uint32_t step) const;
     bool placeReadyStep(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
@@ -429,6 +441,7 @@
     Instant m_firstDecidedAt; ///< Time of the first pass; zero before.
     bool m_answersMissing{}; ///< Many workers have not answered since the start, which was a short time ago.
     std::map<std::uint32_t, Victims> m_victims; ///< By priority; valid for one pass.
+    std::map<std::string, double> m_usedShares; ///< By service; valid for one pass.
     std::uint64_t m_examined{}; ///< Workers examined for placement in this pass.
 };
 
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -120,7 +120,7 @@
     return request;
 }
 
-Scheduler::RequestShape Scheduler::shapeOf(const ReadyStep &ready)
+Scheduler::RequestShape Scheduler::shapeOf(const ReadyStep &ready, Instant now)
 {
     const StepSpec &step = ready.job->spec.steps[ready.step];
     const Resources allocation = batch::allocationOf(step);
@@ -134,7 +134,8 @@
             step.gang ? step.taskCount : 0,
             step.sameRack,
             step.bestEffort,
-            step.tailLatencyTarget.count() > 0};
+            step.tailLatencyTarget.count() > 0,
+            takesAnyPlace(ready, now)};
 }
 
 void Scheduler::placeReadySteps(Decision &decision, Instant now, Instant wall, std::size_t startsMax)
@@ -142,6 +143,7 @@
     std::set<RequestShape> unplaceable;
     std::set<std::string> reservedRacks;
     m_victims.clear();
+    m_usedShares.clear();
     m_examined = 0;
     m_firstDecidedAt = m_firstDecidedAt == Instant{} ? now : m_firstDecidedAt;
     m_answersMissing
@@ -149,6 +151,9 @@
     for (const ReadyStep &ready : readySteps(wall)) {
         const StepSpec &step = ready.job->spec.steps[ready.step];
         Unit &first = *ready.units.front();
+        for (Unit *unit : ready.units) {
+            unit->readySince = unit->readySince == Instant{} ? now : unit->readySince;
+        }
         // What is left for the next pass comes first there, because the steps that failed in this one pause.
         const bool urgent = ready.priority == 0;
         const std::uint64_t examinedMax = urgent ? m_settings.examinedForUrgentMax : m_settings.examinedMax;
@@ -158,11 +163,12 @@
             }
             continue;
         }
-        const RequestShape shape = shapeOf(ready);
+        const RequestShape shape = shapeOf(ready, now);
         if (!urgent && (unplaceable.contains(shape) || decision.starts.size() >= startsMax)) {
             continue;
         }
-        if (placeReadyStep(ready, decision, now, wall, reservedRacks, startsMax)) {
+        if (placeReadyStep(ready, decision, now, wall, reservedRacks, startsMax)
+            || placeAnywhere(ready, decision, now, startsMax)) {
             continue;
         }
         if (step.gang || urgent) {
@@ -230,6 +236,53 @@
     return placeOnFreeResources(ready, decision, now, base) || placeByEviction(ready, decision, now, wall, base);
 }
 
+double Scheduler::usedShare(const std::string &service)
+{
+    const auto [position, added] = m_usedShares.try_emplace(service, 0);
+    if (!added) {
+        return position->second;
+    }
+    Resources used;
+    Resources capacity;
+    for (const auto &[id, worker] : m_pool.all()) {
+        if (worker.registered && worker.spec.service == service) {
+            used += worker.used;
+            capacity += worker.spec.capacity;
+        }
+    }
+    const double whole = coreEquivalents(capacity);
+    position->second = whole > 0 ? coreEquivalents(used) / whole : 1;
+    return position->second;
+}
+
+bool Scheduler::takesAnyPlace(const ReadyStep &ready, Instant now)
+{
+    const bool waited = std::any_of(ready.units.begin(), ready.units.end(), [&](const Unit *unit) {
+        return unit->waiting() && now - unit->readySince >= m_settings.preferenceWait;
+    });
+    return waited && usedShare(ready.job->policy.service) < m_settings.preferenceUseMax;
+}
+
+bool Scheduler::placeAnywhere(const ReadyStep &ready, Decision &decision, Instant now, std::size_t startsMax)
+{
+    if (!takesAnyPlace(ready, now)) {
+        return false;
+    }
+    PlacementRequest request = requestFor(*ready.job, *ready.occurrence, ready.job->spec.steps[ready.step]);
+    request.anyPlace = true;
+    request.urgent = ready.priority == 0;
+    request.slownessWeight = detail::lateSlownessWeight;
+    request.tasksMax = startsMax - std::min(startsMax, decision.starts.size());
+    if (ready.job->policy.advice) {
+        const Advice *advice = adviceFor(ready, decision, now);
+        if (advice == nullptr) {
+            return false;
+        }
+        request.tickets = &advice->tickets;
+    }
+    return placeOnFreeResources(ready, decision, now, request);
+}
+
 const Scheduler::Advice *Scheduler::adviceFor(const ReadyStep &ready, Decision &decision, Instant now)
 {
     const StepId id{ready.job->spec.id, ready.occurrence->number, ready.step};
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -127,6 +127,7 @@
     unit.members.clear();
     unit.stopping = false;
     unit.waitingSince = now;
+    unit.readySince = {};
     occurrence.changed = true;
     failIfAttemptsExhausted(job, unit);
 }
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -75,6 +75,7 @@
     bool gangComplete{}; ///< All members of the present run were there at the same time.
     std::string reservedRack; ///< Rack reserved for this gang until it fits there.
     Instant waitingSince;
+    Instant readySince; ///< When a pass first found that its turn has come; zero before.
     Duration placementPause{}; ///< Latest pause after the unit found no place; zero once it is placed.
     Instant placeAgainAt; ///< The unit found no place; it is not tried again before this time.
     Instant startedAt;
--- a/src/heatherquay/state/batch/worker_pool.cpp
+++ b/src/heatherquay/state/batch/worker_pool.cpp
@@ -117,8 +117,7 @@
 
 bool WorkerPool::acceptsRuns(const Worker &worker, Instant now) const
 {
-    return worker.registered && worker.fenced && !worker.spec.draining && !worker.unreachable
-        && now >= worker.quarantinedUntil;
+    return isUsable(worker) && now >= worker.quarantinedUntil;
 }
 
 } // namespace heatherquay::state::batch
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -81,6 +81,11 @@
     /// @return the share of the registered workers that have answered this decider; 1 without workers
     double fencedShare() const;
     bool acceptsRuns(const Worker &worker, Instant now) const;
+    /// @return whether the worker can take runs; it may be in quarantine
+    static bool isUsable(const Worker &worker)
+    {
+        return worker.registered && worker.fenced && !worker.spec.draining && !worker.unreachable;
+    }
     const std::map<WorkerId, Worker> &all() const
     {
         return m_workers;
--- a/tests/batch/stand_still_test.cpp
+++ b/tests/batch/stand_still_test.cpp
@@ -41,6 +41,62 @@
     BOOST_TEST(pool.violations.empty());
 }
 
+// Guards against a step that waits for its data's rack, none of whose workers is approved.
+BOOST_AUTO_TEST_CASE(a_step_starts_elsewhere_when_no_worker_near_its_data_is_approved)
+{
+    PoolSimulation pool;
+    pool.setQueue("advised", advisedPolicy());
+    const auto workers = pool.addWorkers(16, 8, machine);
+    pool.advised = {workers[0], workers[1]};
+    auto job = makeJob("a", 1, {5'600, 29'000, 1}, 500ms);
+    job.queue = "advised";
+    job.steps.front().dataRack = "r1";
+    pool.submit(job);
+    pool.advance(2'500ms);
+    BOOST_TEST(pool.startsOf({{"a"}, 0, 0, 0}) == 1U);
+    pool.advance(1'500ms); // A task works at a third of the speed there.
+    BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
+}
+
+// Guards against a gang that waits for a rack of its own, when no rack has enough approved workers.
+BOOST_AUTO_TEST_CASE(a_gang_starts_on_several_racks_when_no_rack_has_enough_approved_workers)
+{
+    PoolSimulation pool;
+    pool.setQueue("advised", advisedPolicy());
+    const auto workers = pool.addWorkers(16, 8, machine);
+    pool.advised = {workers[0], workers[1], workers[8], workers[9]};
+    auto job = makeJob("a", 4, {26'000, 140'000, 8}, 500ms);
+    job.queue = "advised";
+    job.steps.front().gang = true;
+    job.steps.front().sameRack = true;
+    pool.submit(job);
+    pool.advance(3s);
+    BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
+}
+
+// Guards against a step that waits for its data's rack for ever: the tasks there last.
+BOOST_AUTO_TEST_CASE(a_step_does_not_wait_for_ever_for_a_rack_that_lasting_tasks_fill)
+{
+    PoolSimulation pool;
+    pool.addWorkers(48, 8, machine);
+    auto lasting = makeJob("lasting", 64, {5'600, 29'000, 1}, 500ms);
+    lasting.steps.front().perpetual = true;
+    lasting.steps.front().requiredLabel = "r0";
+    pool.submit(lasting, 600'000ms);
+    pool.advance(1s);
+    BOOST_REQUIRE(pool.running() == 64U);
+    auto job = makeJob("a", 4, {5'600, 29'000, 1}, 500ms);
+    job.steps.front().dataRack = "r0";
+    pool.submit(job);
+    auto gang = makeJob("gang", 4, {5'600, 29'000, 8}, 500ms);
+    gang.steps.front().dataRack = "r0";
+    gang.steps.front().gang = true;
+    pool.submit(gang);
+    pool.advance(5s);
+    BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
+    BOOST_TEST((pool.stateOf({"gang"}) == JobState::Completed));
+}
+
 // Guards against a step that is skipped because a like one with further conditions found no place.
 BOOST_AUTO_TEST_CASE(a_step_starts_although_a_like_step_with_a_latency_bound_finds_no_place)
 {
@@ -61,6 +117,52 @@
     BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
 }
 
+// Guards against a pool that stands still after tasks that fail everywhere have put its workers in quarantine.
+BOOST_AUTO_TEST_CASE(failing_jobs_do_not_keep_others_from_an_idle_pool)
+{
+    PoolSimulation pool;
+    const auto workers = pool.addWorkers(8, 8, machine);
+    for (const auto &id : workers) {
+        pool.worker(id).failsRuns = true;
+    }
+    for (int i = 0; i < 4; ++i) {
+        pool.submit(makeJob("failing" + std::to_string(i), 32, {5'600, 29'000, 1}, 500ms));
+    }
+    pool.advance(1s);
+    for (const auto &id : workers) {
+        pool.worker(id).failsRuns = false;
+    }
+    pool.advance(500ms);
+    pool.submit(makeJob("a", 1, {5'600, 29'000, 1}, 500ms));
+    pool.advance(3s);
+    BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
+}
+
+// Guards against a job of tasks that need one rack and stands still while all workers there are in quarantine.
+BOOST_AUTO_TEST_CASE(a_job_that_needs_one_rack_does_not_wait_for_the_end_of_a_quarantine)
+{
+    PoolSimulation pool;
+    pool.setQueue("twice", {"service", 2, 2, 3.0, 3'000ms});
+    const auto workers = pool.addWorkers(48, 8, machine);
+    for (std::size_t i = 0; i < 8; ++i) {
+        pool.worker(workers[i]).failsRuns = true;
+    }
+    auto failing = makeJob("failing", 24, {5'600, 29'000, 1}, 1'000ms);
+    failing.queue = "twice";
+    failing.steps.front().requiredLabel = "r0";
+    pool.submit(failing);
+    pool.advance(1s);
+    for (std::size_t i = 0; i < 8; ++i) {
+        pool.worker(workers[i]).failsRuns = false;
+    }
+    auto job = makeJob("a", 4, {5'600, 29'000, 1}, 500ms);
+    job.queue = "twice";
+    job.steps.front().requiredLabel = "r0";
+    pool.submit(job);
+    pool.advance(1'500ms);
+    BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
+}
+
 // Guards against a reservation that never ends: the worker has come back smaller.
 BOOST_AUTO_TEST_CASE(a_reservation_on_a_worker_that_came_back_smaller_is_given_up)
 {
