--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -37,6 +37,10 @@
     /// progress. Leaves room for an estimate that is a tenth of the length and a worker of a quarter of the usual
     /// speed.
     double hungShareBeforeProgress{0.45};
+    /// How long a step waits for the rack or the healthy workers that it prefers while less than this share of its
+    /// service is in use. Then it takes any place, because a slow run is better than none.
+    Duration preferenceWait{2'000};
+    double preferenceUseMax{0.5};
     std::uint32_t reservedRacksMax{2}; ///< Racks reserved for gangs at the same time; a third of a small pool.
     /// Pause after a gang or an urgent step found no place; doubles with each further failure. A search over all
     /// workers takes milliseconds.
@@ -198,9 +202,10 @@
     void stopUnanswered(const TaskId &task, std::uint32_t run, Instant now);
 
     /// Handles the answer to an AdviceOrder.
-    /// @param tickets by worker that may run the step; empty when the call failed
+    /// @param tickets by worker that may run the step; nothing when the call failed
     /// @param validity lifetime of the tickets
-    void adviceAnswered(const StepId &step, std::map<WorkerId, std::string> tickets, Duration validity, Instant now);
+    void adviceAnswered(const StepId &step, const std::optional<std::map<WorkerId, std::string>> &tickets,
+                        Duration validity, Instant now);
 
     /// Runs one scheduling pass.
     /// @param now steady clock
@@ -256,7 +261,9 @@
     struct Advice
     {
         std::map<WorkerId, std::string> tickets;
-        Instant validUntil;
+        std::map<WorkerId, Instant> validUntil; ///< Of the tickets.
+        std::set<WorkerId> refused; ///< Workers that may not run the step. They are asked about last.
+        std::vector<WorkerId> askedAbout; ///< By the call in progress.
         bool asked{}; ///< A call is in progress.
         Instant askAgainAt;
     };
@@ -277,6 +284,25 @@
         Instant latestStart; ///< Wall time; a later start misses the next deadline.
     };
 
+    /// All that decides whether a step finds a place: steps of the same shape find one or none in the same pass.
+    struct RequestShape
+    {
+        std::string service;
+        std::uint32_t priority{}; ///< Decides which runs may be evicted.
+        std::int64_t cpuMillicores{};
+        std::int64_t memoryMegabytes{};
+        std::int64_t accelerators{};
+        std::string requiredLabel;
+        std::string dataRack;
+        std::uint32_t gangTasks{}; ///< 0 unless the step is a gang.
+        bool sameRack{};
+        bool bestEffort{};
+        bool latencyBound{};
+        bool anyPlace{};
+
+        friend auto operator<=>(const RequestShape &, const RequestShape &) = default; // NOLINT(modernize-use-nullptr)
+    };
+
     /// A unit that can be preempted.
     struct Victim
     {
@@ -348,6 +374,14 @@
     /// Starts reserved units whose victims have ended.
     void startReserved(Decision &decision);
     void placeReadySteps(Decision &decision, Instant now, Instant wall, std::size_t startsMax);
+    RequestShape shapeOf(const ReadyStep &ready, Instant now);
+    /// Places a step that has waited too long for a preferred place on any free resources.
+    /// @return whether all waiting units of the step have a place
+    bool placeAnywhere(const ReadyStep &ready, Decision &decision, Instant now, std::size_t startsMax);
+    /// @return whether the step has waited for preferenceWait in a service with enough room
+    bool takesAnyPlace(const ReadyStep &ready, Instant now);
+    /// @return the share of the service's capacity that is allocated; computed once a pass
+    double usedShare(const std::string &service);
     std::vector<ReadyStep> readySteps(Instant wall);
     bool dependenciesDone(const Job &job, const Occurrence &occurrence, std::uint32_t step) const;
     bool placeReadyStep(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
@@ -376,7 +410,7 @@
     double lostWorkOf(const Job &job, const Unit &unit, Instant now) const;
     std::string ticketFor(const Job &job, const Occurrence &occurrence, const Unit &unit, const Member &member) const;
     const Advice *adviceFor(const ReadyStep &ready, Decision &decision, Instant now);
-    std::vector<WorkerId> workersToAskAbout(const ReadyStep &ready) const;
+    std::vector<WorkerId> workersToAskAbout(const ReadyStep &ready, const Advice &advice) const;
     /// Adds @p change to the worker's run counts.
     void countRun(Worker &worker, const Job &job, const Unit &unit, int change) const;
     /// Allocates resources on the chosen workers to the unit.
@@ -407,6 +441,7 @@
     Instant m_firstDecidedAt; ///< Time of the first pass; zero before.
     bool m_answersMissing{}; ///< Many workers have not answered since the start, which was a short time ago.
     std::map<std::uint32_t, Victims> m_victims; ///< By priority; valid for one pass.
+    std::map<std::string, double> m_usedShares; ///< By service; valid for one pass.
     std::uint64_t m_examined{}; ///< Workers examined for placement in this pass.
 };
 
