--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -30,19 +30,52 @@
     m_leaseUntil = std::max(m_leaseUntil, std::min(until, clock() + leaseMax));
 }
 
-void FakeWorker::recordEnd(const state::batch::TaskId &task, std::uint32_t run, EndKind kind)
+void FakeWorker::notify(const RunChange &change) const
+{
+    if (observer) {
+        observer(change);
+    }
+}
+
+FakeWorker::Clock::time_point FakeWorker::leaseExpiry() const
+{
+    return m_startedAt + std::chrono::duration_cast<Clock::duration>(m_leaseUntil / clockRate);
+}
+
+void FakeWorker::recordEnd(const state::batch::TaskId &task, std::uint32_t run, EndKind kind, Clock::time_point time)
 {
     m_lastEndedRun[task] = std::max(m_lastEndedRun[task], run);
     m_ended.push_back({++m_lastEnd, task, run, kind, ""});
+    m_endTimes[m_lastEnd] = time;
+    notify({RunChange::Kind::Ended, time, task, run, kind});
+}
+
+void FakeWorker::confirmEnds(std::uint64_t number)
+{
+    confirmedEnd = std::max(confirmedEnd, number);
+    std::erase_if(m_ended, [&](const state::batch::EndReport &end) {
+        if (end.number > confirmedEnd) {
+            return false;
+        }
+        const bool lapsed = m_leaseLapsedAt > m_endTimes[end.number];
+        notify({RunChange::Kind::Confirmed, Clock::now(), end.task, end.run, end.kind, lapsed});
+        m_endTimes.erase(end.number);
+        return true;
+    });
 }
 
 void FakeWorker::endDueRuns()
 {
     const auto now = Clock::now();
+    const bool leaseExpired = clock() > m_leaseUntil;
+    if (leaseExpired) {
+        m_leaseLapsedAt = now;
+    }
     for (auto run = m_runs.begin(); run != m_runs.end();) {
-        const bool leaseExpired = clock() > m_leaseUntil;
-        if (leaseExpired || now >= run->second.endsAt) {
-            recordEnd(run->first, run->second.number, leaseExpired ? EndKind::LeaseExpired : EndKind::Done);
+        const auto endsAt = leaseExpired ? std::min(run->second.endsAt, leaseExpiry()) : run->second.endsAt;
+        if (now >= endsAt) {
+            recordEnd(run->first, run->second.number,
+                      endsAt < run->second.endsAt ? EndKind::LeaseExpired : EndKind::Done, endsAt);
             run = m_runs.erase(run);
         } else {
             ++run;
@@ -59,7 +92,13 @@
 
 void FakeWorker::restart()
 {
+    endDueRuns();
+    for (const auto &[task, run] : m_runs) {
+        notify({RunChange::Kind::Ended, Clock::now(), task, run.number, EndKind::Failed});
+    }
     m_runs.clear();
+    m_endTimes.clear();
+    m_leaseLapsedAt = {};
     m_lastEndedRun.clear();
     m_ended.clear();
     m_lastEnd = 0;
@@ -83,13 +122,11 @@
         answer.status = CallStatus::Fenced;
         co_return answer;
     }
+    endDueRuns(); // The new lease does not revive runs whose lease has expired.
     if (request.leaseUntil) {
         extendLease(*request.leaseUntil);
     }
-    confirmedEnd = std::max(confirmedEnd, request.confirmedEnd);
-    std::erase_if(m_ended, [&](const state::batch::EndReport &end) {
-        return end.number <= confirmedEnd;
-    });
+    confirmEnds(request.confirmedEnd);
     const auto until = Clock::now() + request.wait;
     endDueRuns();
     while (m_ended.empty() && Clock::now() < until && !unreachable) {
@@ -139,6 +176,7 @@
         if (running == m_runs.end()) {
             m_runs[order.task] = {order.run, Clock::now() + taskDuration};
             records.push_back({order.task, order.run, token.value, true});
+            notify({RunChange::Kind::Started, Clock::now(), order.task, order.run, {}});
         }
     }
     if (dropsResponses) {
@@ -163,12 +201,13 @@
         answer.status = CallStatus::Fenced;
         co_return answer;
     }
+    endDueRuns();
     records.push_back({order.task, order.run, token.value, false});
     m_lastEndedRun[order.task] = std::max(m_lastEndedRun[order.task], order.run);
     const auto running = m_runs.find(order.task);
     if (running != m_runs.end() && running->second.number == order.run) {
         m_runs.erase(running);
-        recordEnd(order.task, order.run, EndKind::Stopped);
+        recordEnd(order.task, order.run, EndKind::Stopped, Clock::now());
     }
     answer.status = CallStatus::Answered;
     answer.failure.clear();
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +24,23 @@
     bool started{}; ///< False for a stop.
 };
 
+/// A start of a run, its end, or the confirmation of the end by a decider.
+struct RunChange
+{
+    enum class Kind
+    {
+        Started,
+        Ended,
+        Confirmed
+    };
+    Kind kind{};
+    std::chrono::steady_clock::time_point time;
+    state::batch::TaskId task;
+    std::uint32_t run{};
+    state::batch::EndKind end{}; ///< How the run ended; not set for a start.
+    bool leaseLapsed{}; ///< For a confirmation: the worker's lease has expired since the end.
+};
+
 /// An in-memory worker that implements leases, fencing tokens, runs and end reports. All deciders of a test share it.
 class FakeWorker
 {
@@ -74,6 +92,7 @@
     bool dropsResponses{}; ///< The worker executes calls but does not respond to them.
     std::vector<WorkerEvent> records; ///< All starts and stops, in order.
     std::uint64_t confirmedEnd{}; ///< Highest end number that a decider has confirmed.
+    std::function<void(const RunChange &)> observer; ///< Receives all changes of runs; may be empty.
 
 private:
     struct Run
@@ -85,7 +104,13 @@
     /// @return whether @p token is lower than that and the call must be refused
     bool rejectStaleToken(protocol::batch::FencingToken token);
     void extendLease(protocol::batch::WorkerTime until);
-    void recordEnd(const state::batch::TaskId &task, std::uint32_t run, state::batch::EndKind kind);
+    /// @param time when the run ended, which may be before the call
+    void recordEnd(const state::batch::TaskId &task, std::uint32_t run, state::batch::EndKind kind,
+                   Clock::time_point time);
+    /// @return the time at which the present lease expires
+    Clock::time_point leaseExpiry() const;
+    void confirmEnds(std::uint64_t number);
+    void notify(const RunChange &change) const;
 
     std::map<state::batch::TaskId, Run> m_runs;
     /// Last run that ended or was stopped; a start needs a higher one.
@@ -95,6 +120,8 @@
     std::uint64_t m_token{};
     protocol::batch::WorkerTime m_leaseUntil{};
     Clock::time_point m_startedAt;
+    Clock::time_point m_leaseLapsedAt; ///< When the lease was last found expired.
+    std::map<std::uint64_t, Clock::time_point> m_endTimes; ///< By number of the end.
 };
 
 static_assert(protocol::batch::WorkerCalls<FakeWorker>);
--- a/tests/emulator/memory_store.cpp
+++ b/tests/emulator/memory_store.cpp
@@ -1,5 +1,7 @@
 #include "emulator/memory_store.hpp"
 
+#include <algorithm>
+
 namespace heatherquay::test
 {
 
@@ -118,9 +120,12 @@
             feed.status = FeedStatus::HistoryCompacted;
             co_return feed;
         }
-        for (const Change &change : m_changes) {
-            if (change.row.version > after && change.row.key.table == table) {
-                feed.rows.push_back(change.row);
+        auto change = std::partition_point(m_changes.begin(), m_changes.end(), [after](const Change &earlier) {
+            return earlier.row.version <= after;
+        });
+        for (; change != m_changes.end(); ++change) {
+            if (change->row.key.table == table) {
+                feed.rows.push_back(change->row);
             }
         }
         if (!feed.rows.empty() || std::chrono::steady_clock::now() >= until) {
--- a/tests/emulator/memory_store.hpp
+++ b/tests/emulator/memory_store.hpp
@@ -49,6 +49,11 @@
     std::uint64_t compactedUpTo{}; ///< The feed no longer has changes up to this version.
     std::uint32_t transactions{}; ///< Number of transact() calls so far.
 
+    /// Drops the history up to now, so that older followers have to read the tables again.
+    void compact()
+    {
+        compactedUpTo = m_version;
+    }
     /// Applies the transactions that were deferred by deferTransactions.
     void applyDeferred();
 
--- a/tests/emulator/platform_emulator.cpp
+++ b/tests/emulator/platform_emulator.cpp
@@ -123,15 +123,7 @@
             },
             refusal));
         m_servers.back()->listen("127.0.0.1:0");
-        boost::json::object entry;
-        entry["service"] = "service";
-        entry["address"] = "127.0.0.1:" + std::to_string(m_servers.back()->localEndpoint().port());
-        entry["zone"] = "z";
-        entry["state"] = "ready";
-        entry["born"] = spec.incarnation.value;
-        entry["capacity"] = {{"cpu", 128'000}, {"memMb", 256'000}, {"gpu", 8}};
-        entry["labels"] = {"a", "r-" + std::to_string(i / detail::workersPerRack)};
-        m_store.put({"servers", "", spec.id.value}, boost::json::serialize(entry));
+        registerWorker(i);
     }
     m_thread = std::jthread([this] {
         m_context.run();
@@ -144,6 +136,20 @@
     m_thread.join();
 }
 
+void PlatformEmulator::registerWorker(std::size_t index)
+{
+    const state::batch::WorkerSpec &spec = m_workers[index]->spec;
+    boost::json::object entry;
+    entry["service"] = "service";
+    entry["address"] = "127.0.0.1:" + std::to_string(m_servers[index + 1]->localEndpoint().port());
+    entry["zone"] = "z";
+    entry["state"] = "ready";
+    entry["born"] = spec.incarnation.value;
+    entry["capacity"] = {{"cpu", 128'000}, {"memMb", 256'000}, {"gpu", 8}};
+    entry["labels"] = {"a", "r-" + std::to_string(index / detail::workersPerRack)};
+    m_store.put({"servers", "", spec.id.value}, boost::json::serialize(entry));
+}
+
 std::string PlatformEmulator::storeAddress() const
 {
     return "127.0.0.1:" + std::to_string(m_servers.front()->localEndpoint().port());
--- a/tests/emulator/platform_emulator.hpp
+++ b/tests/emulator/platform_emulator.hpp
@@ -57,6 +57,8 @@
     {
         return m_workers;
     }
+    /// Writes the worker's registration. Call it on the emulator's thread.
+    void registerWorker(std::size_t index);
     /// @return the number of starts of each task, summed over all workers
     std::map<std::string, int> startCounts();
 
--- a/tests/system/entry_process.cpp
+++ b/tests/system/entry_process.cpp
@@ -29,6 +29,8 @@
         const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
+        // Asio opens sockets without O_CLOEXEC. An inherited copy keeps a connection open that this process has closed.
+        ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
         if (nodeFileVariable != nullptr) {
             ::setenv(nodeFileVariable, file.c_str(), 1);
             ::execl(binary, binary, "serve", nullptr);
@@ -53,15 +55,25 @@
     }
 }
 
+std::optional<int> EntryProcess::poll()
+{
+    int status = 0;
+    if (m_reaped || ::waitpid(m_pid, &status, WNOHANG) != m_pid) {
+        return std::nullopt;
+    }
+    m_reaped = true;
+    return status;
+}
+
 std::optional<int> EntryProcess::wait(std::chrono::seconds timeout)
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
-    int status = 0;
+    std::optional<int> status;
     while (!m_reaped && std::chrono::steady_clock::now() < deadline) {
-        m_reaped = ::waitpid(m_pid, &status, WNOHANG) == m_pid;
+        status = poll();
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
     }
-    return m_reaped && WIFEXITED(status) ? std::optional<int>(WEXITSTATUS(status)) : std::nullopt;
+    return status && WIFEXITED(*status) ? std::optional<int>(WEXITSTATUS(*status)) : std::nullopt;
 }
 
 std::vector<std::uint16_t> freePorts(std::size_t count)
--- a/tests/system/entry_process.hpp
+++ b/tests/system/entry_process.hpp
@@ -32,6 +32,8 @@
         return m_pid;
     }
     void signal(int number) const;
+    /// @return the status of waitpid() if the process has ended since the last call
+    std::optional<int> poll();
     /// Waits for the process to exit.
     /// @return the exit status, empty if the process is still running after the timeout or was terminated by a signal
     std::optional<int> wait(std::chrono::seconds timeout);
