--- a/tests/soak/soak_node.cpp
+++ b/tests/soak/soak_node.cpp
@@ -1,6 +1,8 @@
 #include "soak/soak_node.hpp"
 
 #include <csignal>
+#include <fstream>
+#include <string_view>
 #include <utility>
 
 namespace heatherquay::soak
@@ -35,6 +37,19 @@
         : std::chrono::milliseconds(0);
 }
 
+bool SoakNode::handlesSignals() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::ifstream status(m_process ? "/proc/" + std::to_string(m_process->pid()) + "/status" : "/dev/null");
+    constexpr std::string_view caughtSignals = "SigCgt:";
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(caughtSignals)) {
+            return (std::stoull(line.substr(caughtSignals.size()), nullptr, 16) >> (SIGHUP - 1) & 1) != 0;
+        }
+    }
+    return false;
+}
+
 void SoakNode::start()
 {
     const std::lock_guard lock(m_mutex);
