Let the faults of the soak hit busy workers and restarted nodes

Change: workers have room for four tasks, their faults prefer busy ones, and a start beyond the room is a violation. A series waits for the process that it has ended, not for the node.

--- a/tests/emulator/platform_emulator.cpp
+++ b/tests/emulator/platform_emulator.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr std::uint32_t workersPerRack = 8;
+constexpr std::int64_t workerMillicores = 128'000;
 constexpr std::chrono::milliseconds callTimeout{60'000};
 
 transport::HttpResponse jsonResponse(unsigned status, const boost::json::object &body)
@@ -113,6 +114,7 @@
         state::batch::WorkerSpec spec;
         spec.id.value = "i-" + std::to_string(i);
         spec.incarnation.value = 1'000 + i;
+        spec.capacity.cpuMillicores = detail::workerMillicores;
         const auto worker = std::make_shared<FakeWorker>(spec);
         worker->taskDuration = taskDuration;
         m_workers.push_back(worker);
@@ -145,7 +147,7 @@
     entry["zone"] = "z";
     entry["state"] = "ready";
     entry["born"] = spec.incarnation.value;
-    entry["capacity"] = {{"cpu", 128'000}, {"memMb", 256'000}, {"gpu", 8}};
+    entry["capacity"] = {{"cpu", spec.capacity.cpuMillicores}, {"memMb", 256'000}, {"gpu", 8}};
     entry["labels"] = {"a", "r-" + std::to_string(index / detail::workersPerRack)};
     m_store.put({"servers", "", spec.id.value}, boost::json::serialize(entry));
 }
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -155,27 +155,29 @@
     SoakNode &node = *running[drawIndex(running.size())];
     m_targets.report->note("term " + node.name());
     node.terminate();
-    co_await startAgain(node, between(0ms, 1'000ms));
+    co_await startAgain(node, node.starts(), between(0ms, 1'000ms));
 }
 
 boost::asio::awaitable<void> FaultInjector::kill(std::vector<SoakNode *> nodes)
 {
+    std::vector<unsigned> starts;
     for (SoakNode *node : nodes) {
         m_targets.report->note("kill " + node->name());
         node->kill();
+        starts.push_back(node->starts());
     }
-    for (SoakNode *node : nodes) {
-        co_await startAgain(*node, between(0ms, 2'000ms));
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        co_await startAgain(*nodes[i], starts[i], between(0ms, 2'000ms));
     }
 }
 
-boost::asio::awaitable<void> FaultInjector::startAgain(SoakNode &node, std::chrono::milliseconds delay)
+boost::asio::awaitable<void> FaultInjector::startAgain(SoakNode &node, unsigned starts, std::chrono::milliseconds delay)
 {
-    while (node.processPresent()) {
+    while (node.processPresent() && node.starts() == starts) {
         co_await pause(10ms);
     }
     co_await pause(delay);
-    if (!node.processPresent()) {
+    if (node.starts() == starts) {
         m_targets.report->note("start " + node.name());
         node.start();
     }
@@ -194,7 +196,13 @@
 boost::asio::awaitable<void> FaultInjector::harmWorker(std::string fault)
 {
     const std::size_t index = m_targets.platform->runOnEmulatorThread([this](PlatformEmulator &emulator) {
-        return drawIndex(emulator.workers().size());
+        std::vector<std::size_t> busy;
+        for (std::size_t i = 0; i < emulator.workers().size(); ++i) {
+            if (emulator.workers()[i]->running() > 0) {
+                busy.push_back(i);
+            }
+        }
+        return busy.empty() ? drawIndex(emulator.workers().size()) : busy[drawIndex(busy.size())];
     });
     const auto time = between(300ms, 7'000ms);
     m_targets.report->note(fault + " i-" + std::to_string(index) + " for " + std::to_string(time.count()) + " ms");
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -52,8 +52,9 @@
     boost::asio::awaitable<void> harmWorker(std::string fault);
     boost::asio::awaitable<void> harmStore(std::string fault);
     boost::asio::awaitable<void> harmLinks(std::string fault);
-    /// Waits until the process is gone, and starts the node unless that has been done.
-    boost::asio::awaitable<void> startAgain(SoakNode &node, std::chrono::milliseconds delay);
+    /// Waits until the process is gone, and starts the node unless another series has done so.
+    /// @param starts number of the node's starts before
+    boost::asio::awaitable<void> startAgain(SoakNode &node, unsigned starts, std::chrono::milliseconds delay);
 
     FaultTargets m_targets;
     std::vector<std::string> m_faults;
--- a/tests/soak/job_book.cpp
+++ b/tests/soak/job_book.cpp
@@ -16,12 +16,12 @@
 
 } // namespace detail
 
-void JobBook::recordRun(const std::string &worker, const RunChange &change)
+void JobBook::recordRun(const std::string &worker, const RunChange &change, bool overloaded)
 {
     const std::lock_guard lock(m_mutex);
     Runs &runs = m_runs[change.task];
     if (change.kind == RunChange::Kind::Started) {
-        runs.push_back({worker, change.run, change.time, std::nullopt, {}, std::nullopt});
+        runs.push_back({worker, change.run, change.time, std::nullopt, {}, overloaded, std::nullopt});
         return;
     }
     const auto run = std::find_if(runs.rbegin(), runs.rend(), [&](const SoakRun &known) {
@@ -98,15 +98,20 @@
     }
     for (const SoakRun &run : runs) {
         const std::string text = toString(task) + " run " + std::to_string(run.number) + " on " + run.worker;
+        if (run.overloaded) {
+            report.violation({run.start, "LIMIT", "", id, text + " started beyond the worker's capacity"});
+        }
         for (const SoakRun &other : runs) {
             if (&run == &other || other.start > run.start) {
                 continue;
             }
-            const std::string earlier = "run " + std::to_string(other.number) + " on " + other.worker;
-            if (!other.end || *other.end > run.start) {
-                report.violation({run.start, "TWICE", "", id, text + " started beside " + earlier});
-            } else if (other.how == EndKind::Done && other.confirmedAt) {
-                report.violation({run.start, "TWICE", "", id, text + " started after the end of " + earlier});
+            const bool beside = !other.end || *other.end > run.start;
+            if (beside || (other.how == EndKind::Done && other.confirmedAt)) {
+                std::string violation = text;
+                violation += beside ? " started beside run " : " started after the end of run ";
+                violation += std::to_string(other.number);
+                violation += " on " + other.worker;
+                report.violation({run.start, "TWICE", "", id, violation});
             }
         }
         for (unsigned index = 0; task.step > 0 && index < found->second.steps[task.step - 1]; ++index) {
--- a/tests/soak/job_book.hpp
+++ b/tests/soak/job_book.hpp
@@ -15,6 +15,8 @@
 /// A job as its client knows it.
 struct SoakJob
 {
+    static constexpr std::int64_t taskMillicores = 2'000; ///< What each task requests.
+
     std::string id;
     std::vector<unsigned> steps; ///< Tasks of each step. Each step waits for the one before.
     std::optional<Clock::time_point> acceptedAt;
@@ -32,6 +34,7 @@
     Clock::time_point start;
     std::optional<Clock::time_point> end;
     state::batch::EndKind how{};
+    bool overloaded{}; ///< The start exceeded the worker's capacity.
     std::optional<Clock::time_point> confirmedAt; ///< Not set if the worker's lease has lapsed before.
 };
 
@@ -40,7 +43,8 @@
 {
 public:
     /// Records a change on a worker. Thread-safe.
-    void recordRun(const std::string &worker, const test::RunChange &change);
+    /// @param overloaded whether the worker runs more tasks than it has room for
+    void recordRun(const std::string &worker, const test::RunChange &change, bool overloaded);
 
     /// The following functions are for one thread.
     SoakJob &add(SoakJob job);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -28,6 +28,7 @@
 
 constexpr std::uint32_t workerCount = 12;
 constexpr std::array workerSpeeds{0.6, 1.0, 1.6};
+constexpr std::size_t tasksPerWorker = 4; // Few, so that all workers are busy and faults of workers hit runs.
 constexpr auto taskDuration = 500ms;
 constexpr auto gracePeriod = 6'000ms;
 constexpr auto startTime = 15'000ms;
@@ -160,8 +161,10 @@
             const double speed = detail::workerSpeeds[i % detail::workerSpeeds.size()];
             worker.taskDuration = std::chrono::duration_cast<std::chrono::milliseconds>(detail::taskDuration / speed);
             worker.leaseMax = 6'000ms;
-            worker.observer = [this, id = worker.spec.id.value](const test::RunChange &change) {
-                m_book.recordRun(id, change);
+            worker.spec.capacity.cpuMillicores = detail::tasksPerWorker * SoakJob::taskMillicores;
+            emulator.registerWorker(i);
+            worker.observer = [this, &worker](const test::RunChange &change) {
+                m_book.recordRun(worker.spec.id.value, change, worker.running() > detail::tasksPerWorker);
             };
         }
         return true;
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -56,7 +56,8 @@
 {
     boost::json::array steps;
     for (std::size_t step = 0; step < job.steps.size(); ++step) {
-        boost::json::object json{{"count", job.steps[step]}, {"cpu", 2'000}, {"memMb", 500}, {"estimateMs", 500}};
+        boost::json::object json{
+            {"count", job.steps[step]}, {"cpu", SoakJob::taskMillicores}, {"memMb", 500}, {"estimateMs", 500}};
         if (step > 0) {
             json["after"] = boost::json::array{step - 1};
         }
@@ -296,7 +297,7 @@
     const bool calm = m_context.disturbances->calmSince(sentAt);
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - sentAt);
     const std::string text = request + " after " + std::to_string(elapsed.count()) + " ms, "
-        + std::to_string(node.stoppingFor().count()) + " ms after SIGTERM";
+        + std::to_string(node.sinceTermination().count()) + " ms after the last SIGTERM";
     switch (result.outcome) {
     case Outcome::NotSent:
         return;
--- a/tests/soak/soak_node.cpp
+++ b/tests/soak/soak_node.cpp
@@ -32,9 +32,12 @@
 
 std::chrono::milliseconds SoakNode::stoppingFor() const
 {
-    return m_state == State::Stopping
-        ? std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_terminatedAt)
-        : std::chrono::milliseconds(0);
+    return m_state == State::Stopping ? sinceTermination() : std::chrono::milliseconds(0);
+}
+
+std::chrono::milliseconds SoakNode::sinceTermination() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_terminatedAt);
 }
 
 bool SoakNode::handlesSignals() const
@@ -56,6 +59,7 @@
     m_process = std::make_unique<system_test::EntryProcess>(m_name, m_settings, m_directory, "HEATHERQUAY_NODE_FILE");
     m_paused = false;
     m_state = State::Running;
+    ++m_starts;
 }
 
 void SoakNode::terminate()
--- a/tests/soak/soak_node.hpp
+++ b/tests/soak/soak_node.hpp
@@ -54,6 +54,12 @@
     bool acceptsConnections() const;
     /// @return the time since SIGTERM; zero if the process is not stopping
     std::chrono::milliseconds stoppingFor() const;
+    unsigned starts() const
+    {
+        return m_starts;
+    }
+    /// @return the time since the last SIGTERM to a process of this node
+    std::chrono::milliseconds sinceTermination() const;
     bool processPresent() const
     {
         return m_process != nullptr;
@@ -81,6 +87,7 @@
     std::filesystem::path m_directory;
     State m_state{State::Down};
     Clock::time_point m_terminatedAt;
+    unsigned m_starts{};
     mutable std::mutex m_mutex; ///< Guards the following members.
     std::unique_ptr<system_test::EntryProcess> m_process;
     bool m_frozen{};
