Keep the ends of a restarted worker that nobody has seen

A poll that was sent with the number of an end in the worker's earlier life made the emulated worker discard later ends up to that number unseen. The protocol forgets ends up to the number of the call; it keeps no number for later ends. The error is the emulator's. Change: a call discards only the ends that exist.

--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -54,7 +54,7 @@
 {
     confirmedEnd = std::max(confirmedEnd, number);
     std::erase_if(m_ended, [&](const state::batch::EndReport &end) {
-        if (end.number > confirmedEnd) {
+        if (end.number > number) {
             return false;
         }
         const bool lapsed = m_leaseLapsedAt > m_endTimes[end.number];
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -109,6 +109,7 @@
                    Clock::time_point time);
     /// @return the time at which the present lease expires
     Clock::time_point leaseExpiry() const;
+    /// Forgets the ends up to @p number. A number from an earlier incarnation affects no later end.
     void confirmEnds(std::uint64_t number);
     void notify(const RunChange &change) const;
 
