Report jobs in the soak that wait although workers are free

Cause: a job that stands still for seconds breaks a promise even if it completes in the end, and the soak did not see it. Change: the rule IDLE: nothing of an accepted job runs for 3 s while half of the workers' room is free and no unplanned fault is near.

--- a/tests/soak/job_book.cpp
+++ b/tests/soak/job_book.cpp
@@ -14,12 +14,21 @@
 
 constexpr std::chrono::milliseconds cancelDelay{3'000}; // The platform's bound for tasks of a cancelled job.
 
+constexpr std::chrono::milliseconds idleTime{3'000}; // The platform's bound for a job that could run.
+
 } // namespace detail
 
 void JobBook::recordRun(const std::string &worker, const RunChange &change, bool overloaded)
 {
     const std::lock_guard lock(m_mutex);
     Runs &runs = m_runs[change.task];
+    if (change.kind != RunChange::Kind::Confirmed) {
+        const int difference = change.kind == RunChange::Kind::Started ? 1 : -1;
+        Activity &activity = m_activities[change.task.job.value];
+        activity.running += difference;
+        activity.lastChange = Clock::now();
+        m_running += difference;
+    }
     if (change.kind == RunChange::Kind::Started) {
         runs.push_back({worker, change.run, change.time, std::nullopt, {}, overloaded, std::nullopt});
         return;
@@ -88,6 +97,23 @@
     return first;
 }
 
+void JobBook::checkIdle(std::size_t slots, SoakReport &report)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_running > slots / 2) {
+        return;
+    }
+    const auto latest = Clock::now() - detail::idleTime;
+    for (const SoakJob *job : m_live) {
+        const Activity &activity = m_activities[job->id];
+        if (activity.running == 0 && std::max(*job->acceptedAt, activity.lastChange) < latest
+            && m_idleJobs.insert(job->id).second) {
+            report.violation(
+                {Clock::now(), "IDLE", "", job->id, "nothing runs of the job for 3 s although workers are free"});
+        }
+    }
+}
+
 void JobBook::checkTask(const TaskId &task, const Runs &runs, SoakReport &report) const
 {
     const std::string &id = task.job.value;
--- a/tests/soak/job_book.hpp
+++ b/tests/soak/job_book.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,9 @@
     /// Notes that a cancellation is on its way, so that the job need not complete.
     void sendCancel(SoakJob &job);
 
+    /// Reports the jobs that have had nothing running for a while although workers are free. Reports each once.
+    /// @param slots number of tasks that all workers can run together
+    void checkIdle(std::size_t slots, SoakReport &report);
     /// Checks the runs against what the clients have seen. Call it after the workers have stopped changing.
     void check(SoakReport &report) const;
 
@@ -74,10 +78,20 @@
     std::optional<Clock::time_point> doneAt(const state::batch::TaskId &task) const;
     void leaveLive(const SoakJob &job);
 
+    /// What runs of a job at present.
+    struct Activity
+    {
+        int running{};
+        Clock::time_point lastChange;
+    };
+
     std::map<std::string, SoakJob> m_jobs;
     std::vector<SoakJob *> m_live;
     std::vector<SoakJob *> m_accepted;
-    mutable std::mutex m_mutex; ///< Guards m_runs.
+    std::set<std::string> m_idleJobs; ///< Those that were reported.
+    mutable std::mutex m_mutex; ///< Guards the following members.
+    std::map<std::string, Activity> m_activities;
+    std::size_t m_running{};
     std::map<state::batch::TaskId, Runs> m_runs;
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -33,6 +33,8 @@
 constexpr auto gracePeriod = 6'000ms;
 constexpr auto startTime = 15'000ms;
 constexpr auto checkInterval = 10ms;
+constexpr auto jobCheckInterval = 200ms;
+constexpr auto calmBeforeIdleJob = 7'000ms; // The time without progress, and the platform's span before it.
 constexpr auto stallTime = 10'000ms; // Without any completed job, after the faults.
 constexpr auto settleTime = 120'000ms;
 constexpr std::size_t seriesAtOnce = 3;
@@ -89,6 +91,8 @@
     asio::awaitable<bool> started();
     asio::awaitable<void> settle();
     asio::awaitable<void> stopAll();
+    /// Looks for jobs that wait without need, while no unplanned fault is near.
+    asio::awaitable<void> watchJobs();
     /// Notices ended processes, and those that exceed their grace period.
     asio::awaitable<void> watchProcesses();
     void judgeExit(const SoakNode &node, const SoakNode::Exit &exit, std::chrono::milliseconds stopTime);
@@ -181,6 +185,7 @@
     }
     asio::co_spawn(m_io, run(), asio::detached);
     asio::co_spawn(m_io, watchProcesses(), asio::detached);
+    asio::co_spawn(m_io, watchJobs(), asio::detached);
     m_io.run();
     m_platform.runOnEmulatorThread([](test::PlatformEmulator &emulator) {
         for (const auto &worker : emulator.workers()) {
@@ -290,6 +295,16 @@
     }
 }
 
+asio::awaitable<void> Round::watchJobs()
+{
+    while (m_watching) {
+        co_await detail::pause(detail::jobCheckInterval);
+        if (m_disturbances.calmSince(Clock::now(), detail::calmBeforeIdleJob)) {
+            m_book.checkIdle(detail::workerCount * detail::tasksPerWorker, m_report);
+        }
+    }
+}
+
 asio::awaitable<void> Round::watchProcesses()
 {
     while (m_watching) {
