Record a pass in time that is linear in a job's tasks

Change: the units of a block are consecutive, so that its begin is found backwards from its end. batch_bench measures passes beside one job of 1 to 100,000 tasks, running and waiting.

--- a/benchmarks/batch_bench.cpp
+++ b/benchmarks/batch_bench.cpp
@@ -76,6 +76,41 @@
     report.add(name + "_jobs_left", static_cast<double>(pool.scheduler().liveJobs()), "jobs");
 }
 
+/// Plays the work of 350 workers beside one job of many declared tasks and measures each decision.
+/// @param steps number of steps; all but the first wait for the one before
+/// @param need of each task of the large job; a task that fits on no worker keeps the job waiting
+void measureBesideLargeJob(Report &report, const std::string &name, std::uint32_t steps, std::uint32_t tasksPerStep,
+                           const state::batch::Resources &need, state::Duration length)
+{
+    constexpr std::uint32_t workers = 350;
+    constexpr std::uint32_t workersPerRack = 20;
+    test::PoolSimulation pool({}, 1);
+    for (const Class &work : classes()) {
+        pool.setQueue(work.queue, work.policy);
+    }
+    pool.addWorkers(workers, workersPerRack, {128'000, 262'144, 8});
+    JobSpec large = test::makeJob("large", tasksPerStep, need, 200ms);
+    large.queue = "wide";
+    for (std::uint32_t step = 1; step < steps; ++step) {
+        state::batch::StepSpec next = large.steps.front();
+        next.dependsOn = {step - 1};
+        large.steps.push_back(next);
+    }
+    pool.submit(large);
+    std::uint64_t number = 0;
+    for (state::Duration passed{}; passed < length; passed += 10ms) {
+        if (passed % 100ms == 0ms) {
+            JobSpec small = test::makeJob("small" + std::to_string(++number), 8, {1'000, 1'000, 0}, 500ms);
+            small.queue = "urgent";
+            pool.submit(small);
+        }
+        pool.advance(10ms);
+    }
+    report.add("beside_" + name + "_p50", percentile(pool.decisionTimes, 0.5), "ms");
+    report.add("beside_" + name + "_p99", percentile(pool.decisionTimes, 0.99), "ms");
+    report.add("beside_" + name + "_longest", percentile(pool.decisionTimes, 1), "ms");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -92,5 +127,15 @@
             measure(report, workers, load, options.seed, length);
         }
     }
+    const state::batch::Resources fits{500, 500, 0};
+    const state::batch::Resources tooLarge{1'000'000, 1'000, 0};
+    const state::Duration lengthBesideLarge = 1s;
+    for (const auto &[kind, need] : {std::pair("running", fits), std::pair("waiting", tooLarge)}) {
+        const std::string suffix = std::string("_tasks_") + kind;
+        measureBesideLargeJob(report, "1" + suffix, 1, 1, need, lengthBesideLarge);
+        measureBesideLargeJob(report, "1000" + suffix, 1, 1'000, need, lengthBesideLarge);
+        measureBesideLargeJob(report, "10000" + suffix, 10, 1'000, need, lengthBesideLarge);
+        measureBesideLargeJob(report, "100000" + suffix, 100, 1'000, need, lengthBesideLarge);
+    }
     report.finish();
 }
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -295,9 +295,10 @@
     auto end = occurrence.units.end();
     while (end != occurrence.units.begin()) {
         const std::uint32_t block = std::prev(end)->block;
-        const auto begin = std::find_if(occurrence.units.begin(), end, [block](const Unit &unit) {
-            return unit.block == block;
-        });
+        auto begin = std::prev(end); // The units of a block are consecutive.
+        while (begin != occurrence.units.begin() && std::prev(begin)->block == block) {
+            --begin;
+        }
         const bool changed = std::any_of(begin, end, [](const Unit &unit) {
             return recordedStateOf(unit) != unit.recorded;
         });
