Go on after an exception in one of the decider's calls

What callers saw: nothing yet in the reports. After one exception in a call, jobs stand still until the next hand-over: a worker is not polled any more, orders to it are not sent, or no step of a queue with advice starts.

Cause: the coroutines ended and left behind what they had counted: the session counted as polled, the order as in flight, of which a worker takes one or two, its member as ordered, and the advice loop as running.

No such exception is known from the platform's clients.

Change: a call's exception is logged, and the call counts as unanswered.

Why it works: an unanswered call is repeated, and its run stays until the worker or the end of its lease shows what became of it.

The same change in the advice loop has no test of its own.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -186,6 +186,12 @@
     };
     /// Runs a coroutine on the executor. Logs its exception, and ends the leadership when the task is essential.
     void spawn(boost::asio::awaitable<void> task, TaskKind kind = TaskKind::Ordinary);
+    /// Waits for a call and logs its exception, so that what the caller counts stays right.
+    /// @return whether the call ended without an exception
+    boost::asio::awaitable<bool> endsWithoutException(boost::asio::awaitable<void> call);
+    /// Asks for advice.
+    /// @param answer set to the answer
+    boost::asio::awaitable<void> requestAdvice(state::batch::AdviceOrder order, protocol::batch::AdviceAnswer &answer);
     /// @return whether the store confirmed the term recently enough to grant leases
     bool hasAuthority() const;
     /// @return whether the reading of the worker's clock is recent; otherwise the worker is polled for a new one
--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -65,9 +65,16 @@
 {
     const auto self = shared_from_this();
     if (auto *start = std::get_if<state::batch::StartOrder>(&sent.order)) {
-        co_await order(std::move(*start));
+        const state::batch::TaskId task = start->task;
+        const std::uint32_t run = start->run;
+        if (!co_await endsWithoutException(order(std::move(*start)))) {
+            m_scheduler.startAnswered(task, run, state::batch::StartOutcome::Unknown, now());
+        }
     } else {
-        co_await order(std::move(std::get<state::batch::StopOrder>(sent.order)));
+        const state::batch::StopOrder stop = std::get<state::batch::StopOrder>(std::move(sent.order));
+        if (!co_await endsWithoutException(order(stop))) {
+            m_scheduler.stopUnanswered(stop.task, stop.run, now());
+        }
     }
     m_orders.answered(sent.ticket);
     sendOrders();
@@ -219,8 +226,10 @@
         if (m_stopped) {
             co_return;
         }
-        if (!session->closed) {
-            co_await poll(*session);
+        if (!session->closed && !co_await endsWithoutException(poll(*session))) {
+            m_scheduler.workerUnreachable(session->id);
+            wake();
+            co_await protocol::waitFor(m_times.pollRetryDelay);
         }
         if (std::exchange(session->mayPoll, false)) {
             m_polls.answered(session->pollTicket);
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -110,6 +110,18 @@
     boost::asio::co_spawn(m_executor, std::move(task), finished);
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<bool> Decider<Store, Worker>::endsWithoutException(boost::asio::awaitable<void> call)
+{
+    try {
+        co_await std::move(call);
+        co_return true;
+    } catch (const std::exception &error) {
+        transport::log(transport::LogLevel::Error, "decider-call-failed", {{"error", error.what()}});
+    }
+    co_return false;
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 void Decider<Store, Worker>::wake()
 {
@@ -465,6 +477,14 @@
     co_return true;
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::requestAdvice(state::batch::AdviceOrder order,
+                                                                   protocol::batch::AdviceAnswer &answer)
+{
+    answer.failure = "the call failed";
+    answer = co_await m_ports.advise(order);
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 boost::asio::awaitable<void> Decider<Store, Worker>::adviceLoop()
 {
@@ -475,7 +495,7 @@
         protocol::batch::AdviceAnswer answer;
         answer.failure = "the platform has no advice service";
         if (m_ports.advise) {
-            answer = co_await m_ports.advise(order);
+            co_await endsWithoutException(requestAdvice(order, answer));
         }
         if (m_stopped) {
             co_return;
--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -1,6 +1,7 @@
 #include "emulator/fake_worker.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace heatherquay::test
 {
@@ -123,6 +124,10 @@
 {
     PollAnswer answer;
     answer.failure = "no answer";
+    if (throwingPolls > 0) {
+        --throwingPolls;
+        throw std::runtime_error("injected failure of a poll");
+    }
     if (unreachable) {
         co_await protocol::waitFor(timeout);
         co_return answer;
@@ -189,6 +194,10 @@
             notify({RunChange::Kind::Started, Clock::now(), order.task, order.run, {}});
         }
     }
+    if (throwingOrders > 0) {
+        --throwingOrders;
+        throw std::runtime_error("injected failure of an order");
+    }
     if (dropsResponses) {
         co_await protocol::waitFor(timeout);
         answer.status = CallStatus::Unknown;
@@ -219,6 +228,10 @@
         m_runs.erase(running);
         recordEnd(order.task, order.run, EndKind::Stopped, Clock::now());
     }
+    if (throwingOrders > 0) {
+        --throwingOrders;
+        throw std::runtime_error("injected failure of an order");
+    }
     answer.status = CallStatus::Answered;
     answer.failure.clear();
     co_return answer;
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -94,6 +94,8 @@
     double clockRate{1}; ///< Rate of the worker's clock. Must not change during the test.
     bool unreachable{}; ///< The worker neither executes calls nor responds to them.
     bool dropsResponses{}; ///< The worker executes calls but does not respond to them.
+    std::uint32_t throwingPolls{}; ///< Number of next polls that end with an exception.
+    std::uint32_t throwingOrders{}; ///< Number of next orders that end with an exception after they were executed.
     std::vector<WorkerEvent> records; ///< All starts and stops, in order.
     std::uint64_t confirmedEnd{}; ///< Highest end number that a decider has confirmed.
     std::function<void(const RunChange &)> observer; ///< Receives all changes of runs; may be empty.
