Stop the unconfirmed members of a gang that is done

What callers saw: a job stands still although the pool has room.

Cause: the first end `done` finishes a gang. A member whose start is not confirmed by then is not sent again, because the gang is done, and not stopped either, since only a stopping unit releases such members. It holds its resources for the rest of the term, its job is never removed from the scheduler, and evictions count on the place as one that becomes free at once.

Evidence: test a_member_whose_start_is_unanswered_when_its_gang_is_done_frees_its_place, with a lost answer to the start; the place was still held after 2 s of passes and answers of its worker.

Change: closeRun() stops a unit that is done while a member is neither running nor gone.

Why it works: a planned member is released at once, and one whose order may have arrived is stopped and released when its worker no longer lists it. Members that run report their own end as before.

--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -110,6 +110,13 @@
 
 void Scheduler::closeRun(Job &job, Occurrence &occurrence, Unit &unit, Instant now)
 {
+    // A start that is not confirmed when its gang is done would neither be sent again nor stopped.
+    const bool unconfirmed = std::any_of(unit.members.begin(), unit.members.end(), [](const Member &member) {
+        return member.phase != RunPhase::Running && member.phase != RunPhase::Gone;
+    });
+    if (unit.done && unconfirmed && !unit.stopping) {
+        stopUnit(unit);
+    }
     if (unit.stopping) {
         for (std::size_t i = 0; i < unit.members.size(); ++i) {
             const RunPhase phase = unit.members[i].phase;
