--- a/src/heatherquay/state/batch/run_estimates.cpp
+++ b/src/heatherquay/state/batch/run_estimates.cpp
@@ -61,7 +61,7 @@
     m_queues[estimate.queue] = {estimate.runs, estimate.meanMilliseconds};
 }
 
-Duration RunEstimates::criticalPathFrom(const JobSpec &job, std::uint32_t step) const
+std::vector<Duration> RunEstimates::criticalPathsFrom(const JobSpec &job, std::uint32_t step) const
 {
     // Steps depend only on earlier ones, so a single backward pass visits every successor first.
     std::vector<Duration> fromStep(job.steps.size(), Duration::zero());
@@ -71,16 +71,18 @@
             fromStep[before] = std::max(fromStep[before], fromStep[i]);
         }
     }
-    return step < fromStep.size() ? fromStep[step] : Duration::zero();
+    return fromStep;
+}
+
+Duration RunEstimates::criticalPathFrom(const JobSpec &job, std::uint32_t step) const
+{
+    return step < job.steps.size() ? criticalPathsFrom(job, step)[step] : Duration::zero();
 }
 
 Duration RunEstimates::criticalPath(const JobSpec &job) const
 {
-    Duration longest{};
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        longest = std::max(longest, criticalPathFrom(job, step));
-    }
-    return longest;
+    const std::vector<Duration> paths = criticalPathsFrom(job, 0);
+    return paths.empty() ? Duration::zero() : *std::max_element(paths.begin(), paths.end());
 }
 
 } // namespace heatherquay::state::batch
--- a/src/heatherquay/state/batch/run_estimates.hpp
+++ b/src/heatherquay/state/batch/run_estimates.hpp
@@ -3,6 +3,8 @@
 #include "heatherquay/state/batch/progress.hpp"
 
 #include <map>
+#include <string>
+#include <vector>
 
 namespace heatherquay::state::batch
 {
@@ -28,6 +30,9 @@
     void restore(const QueueEstimate &estimate);
 
 private:
+    /// @return by step of @p job, criticalPathFrom(); computed for @p step and the steps after it
+    std::vector<Duration> criticalPathsFrom(const JobSpec &job, std::uint32_t step) const;
+
     struct Record
     {
         std::uint32_t runs{};
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -89,7 +89,7 @@
     std::uint32_t tasksInBlock = 0;
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
         const StepSpec &spec = job.spec.steps[step];
-        const std::uint32_t units = spec.gang ? std::min(spec.taskCount, 1U) : spec.taskCount;
+        const std::uint32_t units = unitCount(spec);
         occurrence.unitsLeft.push_back(units);
         for (std::uint32_t i = 0; i < units; ++i) {
             Unit &unit = occurrence.units.emplace_back();
@@ -759,8 +759,7 @@
 {
     std::uint32_t position = 0;
     for (std::uint32_t i = 0; i < step && i < job.spec.steps.size(); ++i) {
-        const StepSpec &before = job.spec.steps[i];
-        position += before.gang ? std::min(before.taskCount, 1U) : before.taskCount;
+        position += unitCount(job.spec.steps[i]);
     }
     const bool gang = step < job.spec.steps.size() && job.spec.steps[step].gang;
     return gang ? position : position + index;
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -62,14 +62,21 @@
             if (occurrence.finished) {
                 continue;
             }
-            std::map<std::uint32_t, std::vector<Unit *>> waiting;
-            for (Unit &unit : occurrence.units) {
-                if (unit.waiting()) {
-                    waiting[unit.step].push_back(&unit);
+            std::size_t end = 0;
+            for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+                // The units of a step are consecutive; those of steps that are done or not ready are not looked at.
+                const std::size_t begin = end;
+                end += unitCount(job.spec.steps[step]);
+                if (occurrence.unitsLeft[step] == 0 || !dependenciesDone(job, occurrence, step)) {
+                    continue;
                 }
-            }
-            for (auto &[step, units] : waiting) {
-                if (!dependenciesDone(job, occurrence, step)) {
+                std::vector<Unit *> units;
+                for (std::size_t i = begin; i < end; ++i) {
+                    if (occurrence.units[i].waiting()) {
+                        units.push_back(&occurrence.units[i]);
+                    }
+                }
+                if (units.empty()) {
                     continue;
                 }
                 const Duration left = m_estimates.criticalPathFrom(job.spec, step);
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -3,6 +3,7 @@
 #include "heatherquay/state/batch/progress.hpp"
 #include "heatherquay/state/batch/worker.hpp"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -85,6 +86,12 @@
     }
 };
 
+/// @return the number of units of a step
+inline std::uint32_t unitCount(const StepSpec &step)
+{
+    return step.gang ? std::min(step.taskCount, 1U) : step.taskCount;
+}
+
 /// One execution of all steps of a job.
 struct Occurrence
 {
