--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -127,14 +127,30 @@
     return request;
 }
 
+Scheduler::RequestShape Scheduler::shapeOf(const ReadyStep &ready, Instant now)
+{
+    const StepSpec &step = ready.job->spec.steps[ready.step];
+    const Resources allocation = batch::allocationOf(step);
+    return {ready.job->policy.service,
+            ready.priority,
+            allocation.cpuMillicores,
+            allocation.memoryMegabytes,
+            allocation.accelerators,
+            step.requiredLabel,
+            step.dataRack,
+            step.gang ? step.taskCount : 0,
+            step.sameRack,
+            step.bestEffort,
+            step.tailLatencyTarget.count() > 0,
+            takesAnyPlace(ready, now)};
+}
+
 void Scheduler::placeReadySteps(Decision &decision, Instant now, Instant wall, std::size_t startsMax)
 {
-    // An identical request that found no place earlier in this pass is skipped.
-    using Shape
-        = std::tuple<std::string, std::int64_t, std::int64_t, std::int64_t, std::string, std::string, std::uint32_t>;
-    std::set<Shape> unplaceable;
+    std::set<RequestShape> unplaceable;
     std::set<std::string> reservedRacks;
     m_victims.clear();
+    m_usedShares.clear();
     m_examined = 0;
     m_firstDecidedAt = m_firstDecidedAt == Instant{} ? now : m_firstDecidedAt;
     m_answersMissing
@@ -142,6 +158,9 @@
     for (const ReadyStep &ready : readySteps(wall)) {
         const StepSpec &step = ready.job->spec.steps[ready.step];
         Unit &first = *ready.units.front();
+        for (Unit *unit : ready.units) {
+            unit->readySince = unit->readySince == Instant{} ? now : unit->readySince;
+        }
         // What is left for the next pass comes first there, because the steps that failed in this one pause.
         const bool urgent = ready.priority == 0;
         const std::uint64_t examinedMax = urgent ? m_settings.examinedForUrgentMax : m_settings.examinedMax;
@@ -151,14 +170,12 @@
             }
             continue;
         }
-        const Resources allocation = batch::allocationOf(step);
-        const Shape shape{ready.job->policy.service,     allocation.cpuMillicores, allocation.memoryMegabytes,
-                          allocation.accelerators,       step.requiredLabel,       step.dataRack,
-                          step.gang ? step.taskCount : 1};
+        const RequestShape shape = shapeOf(ready, now);
         if (!urgent && (unplaceable.contains(shape) || decision.starts.size() >= startsMax)) {
             continue;
         }
-        if (placeReadyStep(ready, decision, now, wall, reservedRacks, startsMax)) {
+        if (placeReadyStep(ready, decision, now, wall, reservedRacks, startsMax)
+            || placeAnywhere(ready, decision, now, startsMax)) {
             continue;
         }
         if (step.gang || urgent) {
@@ -226,20 +243,70 @@
     return placeOnFreeResources(ready, decision, now, base) || placeByEviction(ready, decision, now, wall, base);
 }
 
+double Scheduler::usedShare(const std::string &service)
+{
+    const auto [position, added] = m_usedShares.try_emplace(service, 0);
+    if (!added) {
+        return position->second;
+    }
+    Resources used;
+    Resources capacity;
+    for (const auto &[id, worker] : m_pool.all()) {
+        if (worker.registered && worker.spec.service == service) {
+            used += worker.used;
+            capacity += worker.spec.capacity;
+        }
+    }
+    const double whole = coreEquivalents(capacity);
+    position->second = whole > 0 ? coreEquivalents(used) / whole : 1;
+    return position->second;
+}
+
+bool Scheduler::takesAnyPlace(const ReadyStep &ready, Instant now)
+{
+    const bool waited = std::any_of(ready.units.begin(), ready.units.end(), [&](const Unit *unit) {
+        return unit->waiting() && now - unit->readySince >= m_settings.preferenceWait;
+    });
+    return waited && usedShare(ready.job->policy.service) < m_settings.preferenceUseMax;
+}
+
+bool Scheduler::placeAnywhere(const ReadyStep &ready, Decision &decision, Instant now, std::size_t startsMax)
+{
+    if (!takesAnyPlace(ready, now)) {
+        return false;
+    }
+    PlacementRequest request = requestFor(*ready.job, *ready.occurrence, ready.job->spec.steps[ready.step]);
+    request.anyPlace = true;
+    request.urgent = ready.priority == 0;
+    request.slownessWeight = detail::lateSlownessWeight;
+    request.tasksMax = startsMax - std::min(startsMax, decision.starts.size());
+    if (ready.job->policy.advice) {
+        const Advice *advice = adviceFor(ready, decision, now);
+        if (advice == nullptr) {
+            return false;
+        }
+        request.tickets = &advice->tickets;
+    }
+    return placeOnFreeResources(ready, decision, now, request);
+}
+
 const Scheduler::Advice *Scheduler::adviceFor(const ReadyStep &ready, Decision &decision, Instant now)
 {
     const StepId id{ready.job->spec.id, ready.occurrence->number, ready.step};
     Advice &advice = m_advice[id];
-    const bool valid = !advice.tickets.empty() && now + detail::ticketValidityMargin < advice.validUntil;
+    std::erase_if(advice.tickets, [&](const auto &ticket) {
+        return now + detail::ticketValidityMargin >= advice.validUntil.at(ticket.first);
+    });
     // Asks again even while tickets are valid: the step still waits, so the approved workers may not suffice.
     if (!advice.asked && now >= advice.askAgainAt) {
         advice.asked = true;
-        decision.advice.push_back({id, workersToAskAbout(ready)});
+        advice.askedAbout = workersToAskAbout(ready, advice);
+        decision.advice.push_back({id, advice.askedAbout});
     }
-    return valid ? &advice : nullptr;
+    return advice.tickets.empty() ? nullptr : &advice;
 }
 
-std::vector<WorkerId> Scheduler::workersToAskAbout(const ReadyStep &ready) const
+std::vector<WorkerId> Scheduler::workersToAskAbout(const ReadyStep &ready, const Advice &advice) const
 {
     const StepSpec &step = ready.job->spec.steps[ready.step];
     std::vector<const Worker *> suitable;
@@ -251,10 +318,12 @@
             suitable.push_back(&worker);
         }
     }
-    // Prefers workers in the data's rack, then workers with enough free resources.
-    const auto rank = [&step](const Worker *worker) {
+    // New workers come first, so that all are asked about in turn. Of these, prefers workers in the data's rack, then
+    // workers with enough free resources.
+    const auto rank = [&](const Worker *worker) {
         const bool far = !step.dataRack.empty() && worker->spec.rack != step.dataRack;
-        return std::tuple(far, !batch::allocationOf(step).fitsIn(worker->free()), worker->spec.rack, worker->spec.id);
+        return std::tuple(advice.refused.contains(worker->spec.id), advice.tickets.contains(worker->spec.id), far,
+                          !batch::allocationOf(step).fitsIn(worker->free()), worker->spec.rack, worker->spec.id);
     };
     std::sort(suitable.begin(), suitable.end(), [&rank](const Worker *left, const Worker *right) {
         return rank(left) < rank(right);
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +24,23 @@
     bool started{}; ///< False for a stop.
 };
 
+/// A start of a run, its end, or the confirmation of the end by a decider.
+struct RunChange
+{
+    enum class Kind
+    {
+        Started,
+        Ended,
+        Confirmed
+    };
+    Kind kind{};
+    std::chrono::steady_clock::time_point time;
+    state::batch::TaskId task;
+    std::uint32_t run{};
+    state::batch::EndKind end{}; ///< How the run ended; not set for a start.
+    bool leaseLapsed{}; ///< For a confirmation: the worker's lease has expired since the end.
+};
+
 /// An in-memory worker that implements leases, fencing tokens, runs and end reports. All deciders of a test share it.
 class FakeWorker
 {
@@ -54,6 +72,8 @@
     {
         return m_runs.size();
     }
+    /// @return the tasks with active runs
+    std::vector<state::batch::TaskId> activeTasks() const;
     /// @return the end of the lease on the worker's clock
     protocol::batch::WorkerTime leaseUntil() const
     {
@@ -68,12 +88,15 @@
     state::batch::WorkerSpec spec;
     std::chrono::milliseconds taskDuration{100}; ///< Run time of every task.
     std::chrono::milliseconds leaseMax{10'000}; ///< Longer leases are shortened to this.
+    /// Returns how a run ends that has worked for taskDuration. Null ends every run as done.
+    std::function<state::batch::EndKind(const state::batch::TaskId &task, std::uint32_t run)> endKind;
     std::size_t endsPerAnswer{500}; ///< Largest number of ends in one answer.
     double clockRate{1}; ///< Rate of the worker's clock. Must not change during the test.
     bool unreachable{}; ///< The worker neither executes calls nor responds to them.
     bool dropsResponses{}; ///< The worker executes calls but does not respond to them.
     std::vector<WorkerEvent> records; ///< All starts and stops, in order.
     std::uint64_t confirmedEnd{}; ///< Highest end number that a decider has confirmed.
+    std::function<void(const RunChange &)> observer; ///< Receives all changes of runs; may be empty.
 
 private:
     struct Run
@@ -85,7 +108,14 @@
     /// @return whether @p token is lower than that and the call must be refused
     bool rejectStaleToken(protocol::batch::FencingToken token);
     void extendLease(protocol::batch::WorkerTime until);
-    void recordEnd(const state::batch::TaskId &task, std::uint32_t run, state::batch::EndKind kind);
+    /// @param time when the run ended, which may be before the call
+    void recordEnd(const state::batch::TaskId &task, std::uint32_t run, state::batch::EndKind kind,
+                   Clock::time_point time);
+    /// @return the time at which the present lease expires
+    Clock::time_point leaseExpiry() const;
+    /// Forgets the ends up to @p number. A number from an earlier incarnation affects no later end.
+    void confirmEnds(std::uint64_t number);
+    void notify(const RunChange &change) const;
 
     std::map<state::batch::TaskId, Run> m_runs;
     /// Last run that ended or was stopped; a start needs a higher one.
@@ -95,6 +125,8 @@
     std::uint64_t m_token{};
     protocol::batch::WorkerTime m_leaseUntil{};
     Clock::time_point m_startedAt;
+    Clock::time_point m_leaseLapsedAt; ///< When the lease was last found expired.
+    std::map<std::uint64_t, Clock::time_point> m_endTimes; ///< By number of the end.
 };
 
 static_assert(protocol::batch::WorkerCalls<FakeWorker>);
