Judge starts of cancelled jobs in the soak

Cause: starts later than 3 s after an acknowledged cancellation were counted only. Change: the rule UNASKED reports such a start if no unplanned fault was active within 3 s before it.

--- a/tests/soak/job_book.cpp
+++ b/tests/soak/job_book.cpp
@@ -117,7 +117,8 @@
     }
 }
 
-void JobBook::checkTask(const TaskId &task, const Runs &runs, SoakReport &report) const
+void JobBook::checkTask(const TaskId &task, const Runs &runs, const Disturbances &disturbances,
+                        SoakReport &report) const
 {
     const std::string &id = task.job.value;
     const auto found = m_jobs.find(id);
@@ -152,6 +153,9 @@
         const auto &cancelledAt = found->second.cancelledAt;
         if (cancelledAt && run.start > *cancelledAt + detail::cancelDelay) {
             report.count("starts-after-cancel");
+            if (disturbances.calmBefore(run.start)) {
+                report.violation({run.start, "UNASKED", "", id, text + " started after the cancellation"});
+            }
         }
     }
 }
@@ -170,12 +174,12 @@
     }
 }
 
-void JobBook::check(SoakReport &report) const
+void JobBook::check(const Disturbances &disturbances, SoakReport &report) const
 {
     const std::lock_guard lock(m_mutex);
     for (const auto &[task, runs] : m_runs) {
         if (!runs.empty()) {
-            checkTask(task, runs, report);
+            checkTask(task, runs, disturbances, report);
         }
         report.count("runs", runs.size());
         report.count("reruns", runs.size() - std::min<std::size_t>(runs.size(), 1));
--- a/tests/soak/job_book.hpp
+++ b/tests/soak/job_book.hpp
@@ -73,11 +73,12 @@
     /// each once.
     void checkIdle(SoakReport &report);
     /// Checks the runs against what the clients have seen. Call it after the workers have stopped changing.
-    void check(SoakReport &report) const;
+    void check(const Disturbances &disturbances, SoakReport &report) const;
 
 private:
     using Runs = std::vector<SoakRun>;
-    void checkTask(const state::batch::TaskId &task, const Runs &runs, SoakReport &report) const;
+    void checkTask(const state::batch::TaskId &task, const Runs &runs, const Disturbances &disturbances,
+                   SoakReport &report) const;
     void checkJob(const SoakJob &job, SoakReport &report) const;
     /// @return when the task ended as done for the first time
     std::optional<Clock::time_point> doneAt(const state::batch::TaskId &task) const;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -194,7 +194,7 @@
         }
         return true;
     });
-    m_book.check(m_report);
+    m_book.check(m_disturbances, m_report);
     return std::move(m_report);
 }
 
--- a/tests/soak/soak_report.hpp
+++ b/tests/soak/soak_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
@@ -7,6 +8,7 @@
 #include <map>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace heatherquay::soak
@@ -97,12 +99,23 @@
 public:
     void begin()
     {
-        ++m_active;
+        if (++m_active == 1) {
+            m_spans.push_back({Clock::now(), Clock::time_point::max()});
+        }
     }
     void end()
     {
-        --m_active;
         m_lastEnd = Clock::now();
+        if (--m_active == 0) {
+            m_spans.back().second = m_lastEnd;
+        }
+    }
+    /// @return whether no unplanned fault was active from @p margin before @p time until @p time
+    bool calmBefore(Clock::time_point time, std::chrono::milliseconds margin = std::chrono::seconds(3)) const
+    {
+        return std::none_of(m_spans.begin(), m_spans.end(), [time, margin](const auto &span) {
+            return span.first <= time && span.second >= time - margin;
+        });
     }
     /// @return whether no unplanned fault was active from @p margin before @p time until now
     bool calmSince(Clock::time_point time, std::chrono::milliseconds margin = std::chrono::seconds(3)) const
@@ -112,6 +125,7 @@
 
 private:
     int m_active{};
+    std::vector<std::pair<Clock::time_point, Clock::time_point>> m_spans; ///< In which faults were active.
     Clock::time_point m_lastEnd{};
 };
 
