--- a/tests/batch/hand_over_history_test.cpp
+++ b/tests/batch/hand_over_history_test.cpp
@@ -545,7 +545,10 @@
 
     boost::asio::awaitable<void> send(Process &process, state::batch::JobSpec job)
     {
-        const auto outcome = co_await process.acceptance.submit(job, Clock::now() + 200ms);
+        const auto anyOwner = [](const JobOwner &) {
+            return true;
+        };
+        const auto outcome = co_await process.acceptance.submit(job, anyOwner, Clock::now() + 200ms);
         if (outcome == AcceptOutcome::Accepted) {
             m_accepted.insert(job.id);
         }
