Let a submission of the decider's tests own its state

Cause: the fixture submits a job in a detached coroutine that refers to local variables, and requires its result after 10 ms. On a busy machine the requirement fails, the case ends, and the coroutine goes on with variables that are gone: one run had 167 cases fail after it, another aborted in malloc. Change: the coroutine owns what it uses, and the fixture waits for the result as long as the submission may take (1 s). Result: the 26 cases of batch_decider and batch_decider_exceptions pass. The failure itself was not reproduced on purpose.

--- a/tests/batch/decider_fixture.hpp
+++ b/tests/batch/decider_fixture.hpp
@@ -28,6 +28,7 @@
 
 /// Longest lease that the deciders assume of a worker.
 constexpr std::chrono::milliseconds longestLease{1'000};
+constexpr std::chrono::milliseconds acceptanceTimeMax{1'000};
 
 using TestDecider = Decider<MemoryStore, FakeWorker>;
 
@@ -191,20 +192,24 @@
     {
         auto job = makeJob(id, tasks, {1'000, 1'000, 1}, 100ms);
         job.policy = {"service", 1, 3, 3.0, 1'000ms};
-        bool accepted = false;
-        boost::asio::co_spawn(
-            context,
-            [&]() -> boost::asio::awaitable<void> {
-                Acceptance<MemoryStore> acceptance(store);
-                const auto anyOwner = [](const JobOwner &) {
-                    return true;
-                };
-                const auto outcome = co_await acceptance.submit(job, anyOwner, std::chrono::steady_clock::now() + 1s);
-                accepted = outcome == AcceptOutcome::Accepted;
-            },
-            boost::asio::detached);
-        runFor(10ms);
-        BOOST_REQUIRE(accepted);
+        const auto accepted = std::make_shared<bool>(false);
+        // The coroutine owns what it uses: it goes on when the case ends early.
+        const auto send = [](MemoryStore &target, state::batch::JobSpec spec,
+                             std::shared_ptr<bool> result) -> boost::asio::awaitable<void> {
+            Acceptance<MemoryStore> acceptance(target);
+            const auto anyOwner = [](const JobOwner &) {
+                return true;
+            };
+            const auto outcome
+                = co_await acceptance.submit(spec, anyOwner, std::chrono::steady_clock::now() + acceptanceTimeMax);
+            *result = outcome == AcceptOutcome::Accepted;
+        };
+        boost::asio::co_spawn(context, send(store, job, accepted), boost::asio::detached);
+        const auto giveUpAt = std::chrono::steady_clock::now() + acceptanceTimeMax;
+        do {
+            runFor(10ms);
+        } while (!*accepted && std::chrono::steady_clock::now() < giveUpAt);
+        BOOST_REQUIRE(*accepted);
     }
 
     void runFor(std::chrono::milliseconds time)
