Take only the stored row as proof that a job is accepted

Callers saw: a submission answered with 200 whose job is unknown (410) to every process from then on. Cause: a conflict of the conditional insert was taken for an earlier acceptance of the same id, without a look at the row in conflict. The emulated store answered a call that it did not execute, because it went down meanwhile, with 412 and no rows. The class of fault: an answer is believed for its status where its content is the evidence. Evidence: the job's only log line is job-submitted status=200, 1 ms after the first table-lost of that process; no row was ever stored. Change: a conflict is an acceptance only if its rows hold the job. Otherwise the outcome is unknown and the insert, which takes effect once, is tried again until the deadline. The emulator answers such a call with 503. Why it works: a job that is stored under the id is in the rows of the conflict, as the platform's protocol says; without it, nothing is claimed. It is not known whether a store other than the emulated one answers like that.

--- a/src/heatherquay/coordination/batch/acceptance.hpp
+++ b/src/heatherquay/coordination/batch/acceptance.hpp
@@ -7,6 +7,7 @@
 #include "heatherquay/protocol/batch/record_codec.hpp"
 #include "heatherquay/protocol/wait.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <concepts>
 #include <optional>
@@ -70,8 +71,13 @@
                 co_return AcceptOutcome::Accepted;
             }
             if (commit.status == protocol::CommitStatus::Conflict) {
-                const auto owner = ownerOfStoredJob(commit.current);
-                co_return !owner || mayAccess(*owner) ? AcceptOutcome::Accepted : AcceptOutcome::IdTaken;
+                const auto stored = storedRow(commit.current, jobRow(job.id));
+                if (stored) {
+                    const auto owner = ownerOf(*stored);
+                    co_return !owner || mayAccess(*owner) ? AcceptOutcome::Accepted : AcceptOutcome::IdTaken;
+                }
+                // Only the row proves that the job is stored. The next attempt resolves the contradiction.
+                mayBeStored = true;
             }
             mayBeStored = mayBeStored || commit.status == protocol::CommitStatus::Unknown;
             // After a definite failure the caller can try another entry process at once.
@@ -144,14 +150,20 @@
     }
 
 private:
-    /// @return nothing when the store did not return a readable row
-    static std::optional<JobOwner> ownerOfStoredJob(const std::vector<protocol::batch::StoredRow> &rows)
+    static std::optional<protocol::batch::StoredRow> storedRow(const std::vector<protocol::batch::StoredRow> &rows,
+                                                               const protocol::batch::RowKey &key)
+    {
+        const auto found = std::find_if(rows.begin(), rows.end(), [&key](const protocol::batch::StoredRow &row) {
+            return row.key == key && !row.removed;
+        });
+        return found == rows.end() ? std::nullopt : std::optional(*found);
+    }
+
+    /// @return nothing when the row is not readable
+    static std::optional<JobOwner> ownerOf(const protocol::batch::StoredRow &row)
     {
-        if (rows.empty()) {
-            return std::nullopt;
-        }
         try {
-            const state::batch::JobSpec stored = protocol::batch::decodeJob(rows.front().value);
+            const state::batch::JobSpec stored = protocol::batch::decodeJob(row.value);
             return JobOwner{stored.queue, stored.team};
         } catch (const Error &) {
             return std::nullopt;
--- a/tests/emulator/platform_emulator.cpp
+++ b/tests/emulator/platform_emulator.cpp
@@ -203,6 +203,9 @@
         if (commit.status == CommitStatus::Unknown) {
             throw std::runtime_error("injected loss of the response"); // Gives 500, which leaves the outcome unknown.
         }
+        if (commit.status == CommitStatus::NotCommitted) {
+            co_return detail::jsonResponse(503, body); // The store went down while the call was under way.
+        }
         body["rowVersion"] = commit.version;
         body["rows"] = detail::encodeRows(commit.current);
         co_return detail::jsonResponse(commit.status == CommitStatus::Committed ? 200 : 412, body);
