Show what delays jobs: load of the decider, use of the accelerators, starts of a job

Cause: the logs could not tell apart the three hypotheses of the incident: long decisions, preempted work, and ends that are noted late. Change: a line decider-load each second of a term, with decisions, store, polls, orders and what holds the accelerators; job-state names the first and the latest start and the evictions; histograms of timer delay and of the wait of polls.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherquay/coordination/batch/decider_load.hpp"
 #include "heatherquay/coordination/batch/decider_metrics.hpp"
 #include "heatherquay/coordination/batch/job_board.hpp"
 #include "heatherquay/coordination/batch/layout.hpp"
@@ -163,6 +164,8 @@
     boost::asio::awaitable<void> order(state::batch::StartOrder start);
     boost::asio::awaitable<void> order(state::batch::StopOrder stop);
     boost::asio::awaitable<void> adviceLoop();
+    /// Measures the delay of timers, and logs the load of the decider.
+    boost::asio::awaitable<void> observeLoad();
     void handleReplacedWorker(const Session &session);
     /// Takes the incarnation from a registration or an answer of the worker.
     void updateIncarnation(Session &session, state::batch::Incarnation incarnation);
@@ -230,6 +233,7 @@
     std::vector<state::batch::StartOrder> m_pendingStarts; ///< Sent to the workers once their records are stored.
     state::Instant m_termStartedAt;
     std::chrono::milliseconds m_passDuration{}; ///< How long the latest decision took.
+    DeciderLoad m_load;
     state::Instant m_learnedSavedAt; ///< When the learned speeds were last stored.
     std::deque<state::batch::AdviceOrder> m_adviceOrders; ///< Sent one at a time.
     bool m_adviceLoopRunning{};
--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -248,12 +248,16 @@
 {
     const state::batch::Worker *worker = m_scheduler.workers().find(session->id);
     const bool runs = worker != nullptr && worker->runs > 0;
+    const auto queuedAt = Clock::now();
     m_polls.push(runs ? SendClass::Urgent : SendClass::Ordinary, session->id, detail::pollBytes, session);
     grantPolls();
     while (!session->mayPoll && !m_stopped) {
         session->wake.expires_after(detail::idlePollInterval);
         co_await session->wake.async_wait(detail::waitTuple);
     }
+    const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - queuedAt);
+    m_ports.metrics->recordPollWait(waited);
+    m_load.addPollWait(waited);
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
@@ -350,7 +354,9 @@
     if (worker != nullptr && worker->answeredAt == state::Instant{}) {
         m_scheduler.predecessorsFenced(session.id, latestLeaseExpiry(m_times.lease));
     }
+    const auto begunAt = Clock::now();
     m_scheduler.workerAnswered(session.id, answer.report, now());
+    m_load.addReport(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begunAt));
     wake();
     if (!answer.report.ended.empty()) {
         // Runs of a gang end together, so that one further poll reports several of them.
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -18,6 +18,8 @@
 
 constexpr std::uint32_t jobsPerPurgeMax = 20; // Per pass, so that a backlog does not delay decisions.
 
+constexpr std::chrono::milliseconds lagInterval{100};
+constexpr std::chrono::milliseconds loadLogInterval{1'000};
 constexpr std::uint32_t immediatePollsMax = 32; // Their answers take about 50 ms of a small processor share.
 
 /// @return the limits of polls that are answered at once
@@ -73,6 +75,7 @@
         co_await self->run();
     };
     spawn(runDecider(shared_from_this()), TaskKind::Essential);
+    spawn(observeLoad());
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
@@ -403,7 +406,9 @@
     const auto begunAt = Clock::now();
     state::batch::Decision decision = m_scheduler.decide(now(), wallClockNow(), startsMax);
     m_passDuration = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begunAt);
-    m_ports.metrics->recordDecisionTime(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begunAt));
+    const auto decisionTime = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begunAt);
+    m_ports.metrics->recordDecisionTime(decisionTime);
+    m_load.addPass(decisionTime, m_scheduler.examinedWorkers(), decision.starts.size(), decision.stops.size());
     report(decision);
     m_ports.metrics->countDecision(decision);
     for (state::batch::StopOrder &stop : decision.stops) {
@@ -441,7 +446,10 @@
         m_learnedSavedAt = now();
         rows.push_back({learnedRow(), protocol::batch::encodeLearned(m_scheduler.learned())});
     }
+    m_load.addRows(rows.size());
+    const auto writeBegunAt = Clock::now();
     const WriteOutcome outcome = co_await m_writer.write(std::move(rows));
+    m_load.addStoreTime(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - writeBegunAt));
     if (m_stopped) {
         co_return false;
     }
@@ -513,6 +521,22 @@
     m_adviceLoopRunning = false;
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::observeLoad()
+{
+    const auto self = shared_from_this();
+    while (!m_stopped) {
+        const auto begunAt = Clock::now();
+        co_await protocol::waitFor(detail::lagInterval);
+        const auto lag = Clock::now() - begunAt - detail::lagInterval;
+        m_ports.metrics->recordLag(std::chrono::duration_cast<std::chrono::microseconds>(lag));
+        m_load.addLag(std::chrono::duration_cast<std::chrono::microseconds>(lag));
+        if (Clock::now() >= m_load.begunAt() + detail::loadLogInterval) {
+            m_load.log(Clock::now(), {m_orders.size(), m_polls.size(), m_scheduler.liveJobs()}, m_scheduler.usage());
+        }
+    }
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 void Decider<Store, Worker>::report(const state::batch::Decision &decision) const
 {
@@ -522,6 +546,9 @@
                         {"queue", status.queue},
                         {"state", jobStateName(status.state)},
                         {"age_ms", std::to_string(status.age.count())},
+                        {"first_start_ms", std::to_string(status.history.firstStart.count())},
+                        {"last_start_ms", std::to_string(status.history.lastStart.count())},
+                        {"evictions", std::to_string(status.history.evictions)},
                         {"token", std::to_string(m_token.value)}});
     }
     for (const auto &eviction : decision.evictions) {
--- a/src/heatherquay/coordination/batch/decider_metrics.cpp
+++ b/src/heatherquay/coordination/batch/decider_metrics.cpp
@@ -35,6 +35,8 @@
     , m_completionLatency(
           registry.histogram("heatherquay_job_end_seconds", "Time from acceptance of a job to its completion"))
     , m_decisionTime(registry.histogram("heatherquay_decision_seconds", "Time of one scheduling decision"))
+    , m_lag(registry.histogram("heatherquay_decider_lag_seconds", "Delay of the decider's timers"))
+    , m_pollWait(registry.histogram("heatherquay_poll_wait_seconds", "Wait of polls that are answered at once"))
 {
 }
 
@@ -63,6 +65,16 @@
     m_decisionTime.record(time);
 }
 
+void DeciderMetrics::recordLag(std::chrono::microseconds lag)
+{
+    m_lag.record(lag);
+}
+
+void DeciderMetrics::recordPollWait(std::chrono::microseconds wait)
+{
+    m_pollWait.record(wait);
+}
+
 void DeciderMetrics::countStart(state::batch::StartOutcome outcome)
 {
     m_registry
--- a/src/heatherquay/coordination/batch/decider_metrics.hpp
+++ b/src/heatherquay/coordination/batch/decider_metrics.hpp
@@ -22,12 +22,18 @@
     void countRecordWrite(bool stored);
     /// @param time how long the scheduler took for one decision
     void recordDecisionTime(std::chrono::microseconds time);
+    /// @param lag how late a timer of the decider fired
+    void recordLag(std::chrono::microseconds lag);
+    /// @param wait how long a poll that is answered at once waited to be sent
+    void recordPollWait(std::chrono::microseconds wait);
 
 private:
     transport::MetricsRegistry &m_registry;
     transport::LatencyHistogram &m_startLatency;
     transport::LatencyHistogram &m_completionLatency;
     transport::LatencyHistogram &m_decisionTime;
+    transport::LatencyHistogram &m_lag;
+    transport::LatencyHistogram &m_pollWait;
 };
 
 /// @return the name of a job's state in logs and metrics, such as "running"
--- a/src/heatherquay/state/batch/progress.hpp
+++ b/src/heatherquay/state/batch/progress.hpp
@@ -77,6 +77,14 @@
     std::vector<QueueEstimate> queues;
 };
 
+/// What delayed a job, as far as the present decider knows.
+struct JobHistory
+{
+    Duration firstStart{}; ///< Time from acceptance to the first planned start; zero before.
+    Duration lastStart{}; ///< Time from acceptance to the latest planned start; zero before.
+    std::uint32_t evictions{}; ///< Preemptions of its units.
+};
+
 /// Status of a job as its callers see it.
 struct JobStatus
 {
@@ -84,6 +92,7 @@
     std::string queue;
     JobState state{JobState::Queued};
     Duration age{}; ///< Time from acceptance to the change to this state; not stored.
+    JobHistory history; ///< Not stored.
 };
 
 } // namespace heatherquay::state::batch
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -650,6 +650,7 @@
         restartHangDetection(now);
     }
     m_decidedAt = now;
+    m_decidedAtWall = wall;
     openDueOccurrences(now, wall);
     releaseExpiredRuns(now);
     stopHungRuns(decision, now);
@@ -738,6 +739,25 @@
     return views;
 }
 
+PoolUsage Scheduler::usage() const
+{
+    PoolUsage usage;
+    for (const auto &[id, worker] : m_pool.all()) {
+        usage.capacity += worker.registered ? worker.spec.capacity.accelerators : 0;
+    }
+    for (const auto &[id, runs] : m_runsOn) {
+        for (const RunRef &ref : runs) {
+            const RunLocation run = findRun(ref);
+            std::int64_t &share = run.unit->stopping || run.unit->done ? usage.stopping
+                : run.member->phase == RunPhase::Reserved              ? usage.reserved
+                : run.member->phase == RunPhase::Running               ? usage.running
+                                                                       : usage.starting;
+            share += allocationOf(*run.job, *run.unit).accelerators;
+        }
+    }
+    return usage;
+}
+
 const StepSpec &Scheduler::stepOf(const Job &job, const Unit &unit) const
 {
     return job.spec.steps[unit.step];
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -155,6 +155,16 @@
     std::uint32_t waitingUnits{}; ///< Waiting units whose dependencies are done.
 };
 
+/// Accelerators of all workers by what holds them, for operators.
+struct PoolUsage
+{
+    std::int64_t capacity{}; ///< Of the registered workers.
+    std::int64_t reserved{}; ///< For units whose victims have not ended yet.
+    std::int64_t starting{}; ///< By runs whose start is not confirmed.
+    std::int64_t running{};
+    std::int64_t stopping{}; ///< By runs that are being stopped.
+};
+
 /// Decides which tasks run on which workers. Handles queue priorities, team guarantees, gangs, racks and unreliable
 /// workers. Deterministic: uses no clock, network, threads or log; the caller passes the time and executes the
 /// decisions.
@@ -228,6 +238,12 @@
     {
         return m_jobs.size();
     }
+    PoolUsage usage() const;
+    /// @return the number of workers examined for placement in the latest pass
+    std::uint64_t examinedWorkers() const
+    {
+        return m_examined;
+    }
 
 private:
     struct RunLocation
@@ -438,6 +454,7 @@
     std::map<std::pair<TaskId, std::uint32_t>, std::pair<WorkerId, Instant>> m_orphans;
     std::vector<StopOrder> m_orphanStops;
     Instant m_decidedAt; ///< Time of the latest pass.
+    Instant m_decidedAtWall; ///< Wall time of the latest pass.
     Instant m_firstDecidedAt; ///< Time of the first pass; zero before.
     bool m_answersMissing{}; ///< Many workers have not answered since the start, which was a short time ago.
     std::map<std::uint32_t, Victims> m_victims; ///< By priority; valid for one pass.
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -576,6 +576,7 @@
     for (const Unit *unit : chosen->evictedUnits) {
         const Victim &victim = victims.units.at(unit);
         ++victim.run.unit->evictions;
+        ++victim.run.job->history.evictions;
         stopUnit(*victim.run.unit);
         decision.evictions.push_back(
             {taskOf(*victim.run.job, *victim.run.occurrence, *victim.run.unit, 0), job.spec.id, victim.lost});
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -202,6 +202,10 @@
 {
     ++unit.run;
     occurrence.changed = true;
+    job.history.lastStart = m_decidedAtWall - job.spec.acceptedAt;
+    if (job.history.firstStart == Duration{}) {
+        job.history.firstStart = job.history.lastStart;
+    }
     if (job.state == JobState::Queued) {
         job.state = JobState::Running;
         job.statusChanged = true;
@@ -357,7 +361,8 @@
         }
         if (job.statusChanged) {
             job.statusChanged = false;
-            decision.statuses.push_back({job.spec.id, job.spec.queue, job.state, wall - job.spec.acceptedAt});
+            decision.statuses.push_back(
+                {job.spec.id, job.spec.queue, job.state, wall - job.spec.acceptedAt, job.history});
         }
         ++position;
     }
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -113,6 +113,7 @@
     JobState state{JobState::Queued};
     bool statusChanged{};
     bool cancelWanted{};
+    JobHistory history;
     /// Occurrences that have become due, by number. A limited number is open at a time; the others follow as these
     /// finish.
     std::map<std::uint32_t, Occurrence> occurrences;
