Do not record metrics after the decider has stopped

Cause: a poll that waits for its turn and the load observer outlive stop(), and the metrics may be gone by then; a memory fault followed in a test of the decider. Change: both return when the decider was stopped.

--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -255,6 +255,9 @@
         session->wake.expires_after(detail::idlePollInterval);
         co_await session->wake.async_wait(detail::waitTuple);
     }
+    if (m_stopped) {
+        co_return;
+    }
     const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - queuedAt);
     m_ports.metrics->recordPollWait(waited);
     m_load.addPollWait(waited);
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -528,6 +528,9 @@
     while (!m_stopped) {
         const auto begunAt = Clock::now();
         co_await protocol::waitFor(detail::lagInterval);
+        if (m_stopped) {
+            co_return;
+        }
         const auto lag = Clock::now() - begunAt - detail::lagInterval;
         m_ports.metrics->recordLag(std::chrono::duration_cast<std::chrono::microseconds>(lag));
         m_load.addLag(std::chrono::duration_cast<std::chrono::microseconds>(lag));
