Poll silent workers from a queue of their own

Cause: polls that are answered at once share 32 places. Those of workers with runs went first, and workers that were silent kept theirs until their leases ended, so that 258 crashed workers held all places with their retries. Polls of healthy workers without runs at that moment, which confirm the last ends, waited for up to 11.9 s. Runs that were started there meanwhile ended unnoted or lapsed, and gangs that had preempted them kept their reservation all that time. Change: workers that did not answer their latest call are polled from a queue of their own with 16 places, at intervals that double up to 600 ms. Polls that confirm ends go before first polls of idle workers. Why it works: the two kinds no longer compete, so that the wait of a poll of a healthy worker is bounded by the polls of healthy workers.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -58,8 +58,9 @@
     std::chrono::milliseconds pollResponseMargin{900};
     /// Pause after a poll that reported ends.
     std::chrono::milliseconds pollPause{20};
-    /// Pause after an unanswered poll.
+    /// Pause after an unanswered poll; doubles with each further one.
     std::chrono::milliseconds pollRetryDelay{150};
+    std::chrono::milliseconds pollRetryDelayMax{600};
     /// Timeout of start and stop orders. A healthy worker answers within 10 ms; orders are idempotent and are retried.
     std::chrono::milliseconds orderTimeout{300};
     /// How long to wait until the record of a run's end is stored before the worker is polled again.
@@ -153,6 +154,8 @@
     boost::asio::awaitable<void> waitForPollSlot(std::shared_ptr<Session> session);
     /// Lets through the queued polls that may be sent now, and sets a timer for the next one.
     void grantPolls();
+    /// @return the pause before a silent worker is polled again
+    std::chrono::milliseconds pollRetryDelay(const Session &session) const;
     /// Polls a worker once, extends its lease if allowed, and passes the answer to the scheduler.
     boost::asio::awaitable<void> poll(Session &session);
     void queue(state::batch::StartOrder start);
@@ -224,6 +227,9 @@
     /// Polls that are answered at once. After an election every worker needs one; sent all together, they would keep
     /// the processor from the heartbeat and end the term.
     SendQueue<std::shared_ptr<Session>> m_polls;
+    /// Polls of workers that did not answer the latest call. Kept apart, because each fills its place until it times
+    /// out.
+    SendQueue<std::shared_ptr<Session>> m_silentPolls;
     boost::asio::steady_timer m_pollTimer;
     std::map<state::WorkerId, std::shared_ptr<Session>> m_sessions;
     /// Jobs with the versions of their rows; admitted after recovery.
--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -229,10 +229,12 @@
         if (!session->closed && !co_await endsWithoutException(poll(*session))) {
             m_scheduler.workerUnreachable(session->id);
             wake();
-            co_await protocol::waitFor(m_times.pollRetryDelay);
+            ++session->failures;
+            co_await protocol::waitFor(pollRetryDelay(*session));
         }
+        // The poll holds its place during the pause after it, which also limits the rate of refused connections.
         if (std::exchange(session->mayPoll, false)) {
-            m_polls.answered(session->pollTicket);
+            (session->pollsAsSilent ? m_silentPolls : m_polls).answered(session->pollTicket);
             grantPolls();
         }
     }
@@ -248,8 +250,11 @@
 {
     const state::batch::Worker *worker = m_scheduler.workers().find(session->id);
     const bool runs = worker != nullptr && worker->runs > 0;
+    const bool confirmsEnds = session->processedEnd > 0;
+    session->pollsAsSilent = worker != nullptr && worker->unreachable;
+    auto &polls = session->pollsAsSilent ? m_silentPolls : m_polls;
     const auto queuedAt = Clock::now();
-    m_polls.push(runs ? SendClass::Urgent : SendClass::Ordinary, session->id, detail::pollBytes, session);
+    polls.push(runs || confirmsEnds ? SendClass::Urgent : SendClass::Ordinary, session->id, detail::pollBytes, session);
     grantPolls();
     while (!session->mayPoll && !m_stopped) {
         session->wake.expires_after(detail::idlePollInterval);
@@ -263,20 +268,34 @@
     m_load.addPollWait(waited);
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+std::chrono::milliseconds Decider<Store, Worker>::pollRetryDelay(const Session &session) const
+{
+    auto delay = m_times.pollRetryDelay;
+    for (std::uint32_t failure = 1; failure < session.failures && delay < m_times.pollRetryDelayMax; ++failure) {
+        delay *= 2;
+    }
+    return std::min(delay, std::max(m_times.pollRetryDelay, m_times.pollRetryDelayMax));
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 void Decider<Store, Worker>::grantPolls()
 {
-    while (!m_stopped) {
-        auto granted = m_polls.pop(now());
-        if (!granted) {
-            break;
+    if (m_stopped) {
+        return;
+    }
+    std::optional<state::Duration> wait;
+    for (auto *polls : {&m_polls, &m_silentPolls}) {
+        while (auto granted = polls->pop(now())) {
+            granted->order->mayPoll = true;
+            granted->order->pollTicket = granted->ticket;
+            granted->order->wake.cancel();
+        }
+        if (const auto next = polls->nextSendIn(now())) {
+            wait = wait ? std::min(*wait, *next) : *next;
         }
-        granted->order->mayPoll = true;
-        granted->order->pollTicket = granted->ticket;
-        granted->order->wake.cancel();
     }
-    const auto wait = m_polls.nextSendIn(now());
-    if (m_stopped || !wait) {
+    if (!wait) {
         return;
     }
     m_pollTimer.expires_after(std::max(*wait, state::Duration(1)));
@@ -327,7 +346,7 @@
         }
         m_scheduler.workerUnreachable(session.id);
         wake();
-        co_await protocol::waitFor(m_times.pollRetryDelay);
+        co_await protocol::waitFor(pollRetryDelay(session));
         co_return;
     }
     if (session.failures > 0) {
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -22,10 +22,12 @@
 constexpr std::chrono::milliseconds loadLogInterval{1'000};
 constexpr std::uint32_t immediatePollsMax = 32; // Their answers take about 50 ms of a small processor share.
 
+constexpr std::uint32_t silentPollsMax = 16; // Leaves the processor to the workers that answer.
+
 /// @return the limits of polls that are answered at once
-inline SendLimits pollLimits(SendLimits limits)
+inline SendLimits pollLimits(SendLimits limits, std::uint32_t inFlightMax)
 {
-    limits.inFlightMax = immediatePollsMax;
+    limits.inFlightMax = inFlightMax;
     return limits;
 }
 
@@ -55,7 +57,8 @@
     , m_wake(m_executor)
     , m_orders(orderLimits)
     , m_orderTimer(m_executor)
-    , m_polls(detail::pollLimits(orderLimits))
+    , m_polls(detail::pollLimits(orderLimits, detail::immediatePollsMax))
+    , m_silentPolls(detail::pollLimits(orderLimits, detail::silentPollsMax))
     , m_pollTimer(m_executor)
 {
 }
@@ -535,7 +538,8 @@
         m_ports.metrics->recordLag(std::chrono::duration_cast<std::chrono::microseconds>(lag));
         m_load.addLag(std::chrono::duration_cast<std::chrono::microseconds>(lag));
         if (Clock::now() >= m_load.begunAt() + detail::loadLogInterval) {
-            m_load.log(Clock::now(), {m_orders.size(), m_polls.size(), m_scheduler.liveJobs()}, m_scheduler.usage());
+            m_load.log(Clock::now(), {m_orders.size(), m_polls.size() + m_silentPolls.size(), m_scheduler.liveJobs()},
+                       m_scheduler.usage());
         }
     }
 }
--- a/src/heatherquay/coordination/batch/worker_session.hpp
+++ b/src/heatherquay/coordination/batch/worker_session.hpp
@@ -39,6 +39,7 @@
     bool polling{}; ///< The poll loop is running.
     bool mayPoll{}; ///< The queue of polls has let this session's poll through.
     std::uint64_t pollTicket{}; ///< Of that poll.
+    bool pollsAsSilent{}; ///< That poll is in the queue of silent workers.
     bool closed{};
 
     /// Resets the clock and the run end numbers when the worker's incarnation has changed.
--- a/tests/batch/decider_fixture.hpp
+++ b/tests/batch/decider_fixture.hpp
@@ -38,7 +38,8 @@
     DeciderProcess(boost::asio::io_context &context, MemoryStore &rowStore,
                    std::map<std::string, std::shared_ptr<FakeWorker>> &workers, std::uint64_t token,
                    double clockRateMin = DeciderTimes().clockRateMin,
-                   std::chrono::milliseconds retention = DeciderTimes().endedJobRetention)
+                   std::chrono::milliseconds retention = DeciderTimes().endedJobRetention,
+                   std::chrono::milliseconds lease = 300ms)
         : store(rowStore)
         , mirror(store, boardTable, {intakePart, deciderPart}, [this](const protocol::batch::StoredRow &row) {
             if (row.key.key == termKey) {
@@ -86,7 +87,7 @@
         ports.board = &board;
         ports.metrics = &metrics;
         DeciderTimes times;
-        times.lease = 300ms;
+        times.lease = lease;
         times.authorityTimeout = 200ms;
         times.passIntervalMax = 10ms;
         times.passIntervalMin = 1ms;
@@ -136,15 +137,7 @@
     DeciderFixture()
     {
         for (int i = 0; i < 2; ++i) {
-            state::batch::WorkerSpec spec;
-            spec.id.value = "w" + std::to_string(i);
-            spec.incarnation.value = 1;
-            spec.service = "service";
-            spec.rack = "r0";
-            spec.labels = {"a", "r0"};
-            spec.capacity = {32'000, 64'000, 8};
-            workers[spec.id.value] = std::make_shared<FakeWorker>(spec);
-            registerWorker(spec.id.value);
+            addWorker("w" + std::to_string(i), "a");
         }
     }
 
@@ -155,6 +148,20 @@
         context.run_for(200ms); // Lets the deciders' coroutines finish.
     }
 
+    FakeWorker &addWorker(const std::string &id, const std::string &label)
+    {
+        state::batch::WorkerSpec spec;
+        spec.id.value = id;
+        spec.incarnation.value = 1;
+        spec.service = "service";
+        spec.rack = "r0";
+        spec.labels = {label, "r0"};
+        spec.capacity = {32'000, 64'000, 8};
+        workers[id] = std::make_shared<FakeWorker>(spec);
+        registerWorker(id);
+        return *workers[id];
+    }
+
     void registerWorker(const std::string &id)
     {
         store.put({"workers", "", id}, std::to_string(++registrations));
@@ -190,7 +197,11 @@
 
     void submit(const std::string &id, std::uint32_t tasks)
     {
-        auto job = makeJob(id, tasks, {1'000, 1'000, 1}, 100ms);
+        submit(makeJob(id, tasks, {1'000, 1'000, 1}, 100ms));
+    }
+
+    void submit(state::batch::JobSpec job)
+    {
         job.policy = {"service", 1, 3, 3.0, 1'000ms};
         const auto accepted = std::make_shared<bool>(false);
         // The coroutine owns what it uses: it goes on when the case ends early.
--- a/tests/batch/decider_workers_test.cpp
+++ b/tests/batch/decider_workers_test.cpp
@@ -74,6 +74,43 @@
     BOOST_TEST(starts().begin()->second == 2);
 }
 
+// Guards against ends that are noted seconds late: polls of silent workers went ahead of those of all others.
+BOOST_AUTO_TEST_CASE(ends_are_noted_while_many_other_workers_are_silent)
+{
+    constexpr int silentWorkers = 200;
+    constexpr std::uint32_t tasksPerWorker = 8;
+    for (int i = 0; i < silentWorkers; ++i) {
+        addWorker("s" + std::to_string(i), "silent").taskDuration = 60s;
+    }
+    process = std::make_unique<DeciderProcess>(context, store, workers, 1, DeciderTimes().clockRateMin,
+                                               DeciderTimes().endedJobRetention, 10s);
+    auto longJob = test::makeJob("long", silentWorkers * tasksPerWorker, {1'000, 1'000, 1}, 60s);
+    longJob.steps.front().requiredLabel = "silent";
+    submit(longJob);
+    const auto runUntil = [this](const auto &condition) {
+        for (int i = 0; i < 300 && !condition(); ++i) {
+            process->confirmedAt = std::chrono::steady_clock::now(); // Heartbeats do this outside of the test.
+            runFor(10ms);
+        }
+        return condition();
+    };
+    BOOST_REQUIRE(runUntil([this] {
+        return process->decider->scheduler().usage().running == silentWorkers * tasksPerWorker;
+    }));
+    for (auto &[id, worker] : workers) {
+        worker->unreachable = id.starts_with("s");
+    }
+    store.transactionTime = 40ms;
+    runFor(200ms);
+    for (const std::string id : {"a", "b", "c"}) {
+        submit(id, 1);
+        BOOST_TEST(runUntil([&] {
+                       return completed(id);
+                   }),
+                   "job " + id + " has not completed after three seconds");
+    }
+}
+
 // Guards against two concurrent runs of a task: an unreachable worker may run it until its lease expires.
 BOOST_AUTO_TEST_CASE(no_run_starts_elsewhere_before_the_lease_of_a_silent_worker_has_ended)
 {
--- a/tests/emulator/memory_store.cpp
+++ b/tests/emulator/memory_store.cpp
@@ -58,7 +58,7 @@
 boost::asio::awaitable<RowCommit> MemoryStore::transact(RowTransaction transaction, std::chrono::milliseconds)
 {
     ++transactions;
-    co_await protocol::waitFor(detail::callLatency);
+    co_await protocol::waitFor(transactionTime);
     RowCommit unanswered;
     unanswered.failure = "no answer";
     if (down) {
--- a/tests/emulator/memory_store.hpp
+++ b/tests/emulator/memory_store.hpp
@@ -47,6 +47,7 @@
     std::uint32_t
         deferTransactions{}; ///< Number of next transactions that are deferred until applyDeferred() and not answered.
     std::uint64_t compactedUpTo{}; ///< The feed no longer has changes up to this version.
+    std::chrono::milliseconds transactionTime{1}; ///< How long the store takes for each transaction.
     std::uint32_t transactions{}; ///< Number of transact() calls so far.
 
     /// Drops the history up to now, so that older followers have to read the tables again.
