Release the expired runs of all silent workers in one pass

Callers saw: tasks of crashed workers started elsewhere seconds after their leases had ended. Cause: a pass released the runs of one silent worker and left the others for the next passes, since releasing may remove the worker from the map that is iterated. A busy decider makes 6 passes a second, so that 258 lost workers took over 40 s. Evidence: the loop; after 50 workers fell silent, 384 of 400 accelerators were still held after the pass that followed their leases' end. Change: the expired workers are collected first and then all released. Result: the test failed before (384 != 0) and passes.

--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -60,11 +60,14 @@
 
 void Scheduler::releaseExpiredRuns(Instant now)
 {
-    for (auto &[id, worker] : m_pool.all()) {
+    std::vector<WorkerId> expired;
+    for (const auto &[id, worker] : m_pool.all()) {
         const bool notAnswering = worker.unreachable || !worker.fenced;
-        if (worker.runs == 0 || !notAnswering || now < worker.leaseUntil) {
-            continue;
+        if (worker.runs > 0 && notAnswering && now >= worker.leaseUntil) {
+            expired.push_back(id);
         }
+    }
+    for (const WorkerId &id : expired) {
         const std::set<RunRef> runs = m_runsOn[id];
         for (const RunRef &ref : runs) {
             const RunLocation run = findRun(ref);
@@ -72,7 +75,6 @@
             releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
             run.occurrence->changed = true;
         }
-        break; // Releasing the last run may remove the worker and invalidate the iterator; the next pass continues.
     }
 }
 
