Campaign only while the latest heartbeat is the one that was seen

Cause: a candidate counts the time without heartbeats on its own mirror of the store. A VM that had been cut off for 12 s caught up too slowly to see the heartbeats in time and took the term from a healthy leader: the campaign was conditional on the term row alone, which heartbeats do not change. Change: a campaign is conditional on the version of the heartbeat that the candidate last saw, unless the leader asked for it. Why it works: the store rejects the campaign whenever the leader has sent a heartbeat that the candidate has not seen, and the answer brings that heartbeat. The test failed before (the leader was deposed, the other one elected) and passes.

--- a/src/heatherquay/coordination/batch/election.hpp
+++ b/src/heatherquay/coordination/batch/election.hpp
@@ -5,7 +5,9 @@
 #include "heatherquay/coordination/batch/term.hpp"
 #include "heatherquay/protocol/batch/worker_calls.hpp"
 
+#include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace heatherquay::coordination::batch
 {
@@ -131,6 +133,7 @@
     ElectionTimes m_times;
     TermRecord m_term;
     std::uint64_t m_termVersion{};
+    std::uint64_t m_heartbeatVersion{}; ///< Of the latest heartbeat that this process has seen.
     Clock::time_point m_leaderSeenAt;
     Clock::time_point m_confirmedAt;
     Clock::time_point m_heartbeatSentAt;
@@ -151,6 +154,9 @@
         return;
     }
     m_leaderSeenAt = Clock::now();
+    if (row.key.key == heartbeatKey) {
+        m_heartbeatVersion = std::max(m_heartbeatVersion, row.version);
+    }
     if (row.key.key != termKey || row.version <= m_termVersion) {
         return;
     }
@@ -238,11 +244,15 @@
 template<protocol::batch::RowStore Store>
 boost::asio::awaitable<void> Election<Store>::campaign()
 {
-    m_takeoverRequested = false;
+    // Without this condition, a process whose mirror has fallen behind replaces a leader that sends heartbeats.
+    const bool requested = std::exchange(m_takeoverRequested, false);
     TermRecord next = m_self;
     next.token.value = m_term.token.value + 1;
     protocol::batch::RowTransaction transaction;
     transaction.conditions.push_back(condition());
+    if (!requested) {
+        transaction.conditions.push_back({{boardTable, deciderPart, heartbeatKey}, m_heartbeatVersion});
+    }
     transaction.puts.push_back({{boardTable, deciderPart, termKey}, encodeTerm(next)});
     const auto sentAt = Clock::now();
     if (m_campaignToken != next.token) {
--- a/tests/batch/election_test.cpp
+++ b/tests/batch/election_test.cpp
@@ -23,7 +23,7 @@
         : context(io)
         , board(store, boardTable, {intakePart, deciderPart, membersPart},
                 [this](const protocol::batch::StoredRow &row) {
-                    if (row.key.key.starts_with('!')) {
+                    if (row.key.key.starts_with('!') && !(missesHeartbeats && row.key.key == heartbeatKey)) {
                         election.applyRow(row);
                     }
                 })
@@ -63,6 +63,7 @@
     Election<test::MemoryStore> election;
     std::vector<std::uint64_t> tokens;
     int deposals{};
+    bool missesHeartbeats{}; ///< The mirror has fallen behind.
 };
 
 struct ElectionFixture
@@ -220,6 +221,23 @@
     BOOST_TEST(!first.election.leading());
 }
 
+// Guards against a healthy leader that is replaced by a process whose mirror of the store has fallen behind.
+BOOST_AUTO_TEST_CASE(a_candidate_that_has_missed_heartbeats_does_not_take_over)
+{
+    Candidate first(context, store, "vm-1", "a");
+    first.start();
+    runFor(60ms);
+    Candidate second(context, store, "vm-2", "b");
+    second.start();
+    runFor(60ms);
+    BOOST_REQUIRE(first.election.leading());
+    second.missesHeartbeats = true;
+    runFor(500ms);
+    BOOST_TEST(first.election.leading());
+    BOOST_TEST(first.deposals == 0);
+    BOOST_TEST(second.tokens.empty());
+}
+
 // Guards against a campaign on stale data while the store is unreachable.
 BOOST_AUTO_TEST_CASE(nobody_campaigns_while_the_store_is_down)
 {
