Rule out workers without enough resources before comparing texts

Cause: each search for a place looked up every worker by its id in the map of what can be evicted, and compared services, labels and racks before the resources; a full pool has few workers that can take a task at all. Change: both maps are walked together, as both are ordered by id, and the resources, with all that can be evicted, are compared first. The choices are the same.

--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -84,6 +84,37 @@
     }
 }
 
+/// Finds the entries of ascending worker ids without a search for each of them.
+class Placement::ReclaimableCursor
+{
+public:
+    /// @param resources may be null
+    explicit ReclaimableCursor(const std::map<WorkerId, ReclaimableResources> *resources)
+        : m_resources(resources)
+    {
+        if (m_resources != nullptr) {
+            m_next = m_resources->begin();
+        }
+    }
+
+    /// @param id higher than in the call before
+    /// @return the entry of the worker; null when it has none
+    const ReclaimableResources *find(const WorkerId &id)
+    {
+        if (m_resources == nullptr) {
+            return nullptr;
+        }
+        while (m_next != m_resources->end() && m_next->first < id) {
+            ++m_next;
+        }
+        return m_next != m_resources->end() && m_next->first == id ? &m_next->second : nullptr;
+    }
+
+private:
+    const std::map<WorkerId, ReclaimableResources> *m_resources;
+    std::map<WorkerId, ReclaimableResources>::const_iterator m_next;
+};
+
 Placement::Candidates Placement::candidates(const PlacementRequest &request,
                                             const std::map<WorkerId, ReclaimableResources> *reclaimable) const
 {
@@ -91,7 +122,18 @@
     noteExamined(m_pool.all().size());
     const StepSpec &step = *request.step;
     const Resources allocation = allocationOf(step);
+    ReclaimableCursor cursor(reclaimable);
     for (const auto &[id, worker] : m_pool.all()) {
+        const ReclaimableResources *evictable = cursor.find(id);
+        Candidate candidate{&worker, worker.free(), std::numeric_limits<std::uint32_t>::max()};
+        candidate.reclaimable = evictable;
+        if (evictable != nullptr) {
+            candidate.available += evictable->pendingRelease;
+        }
+        // Rules out most workers of a busy pool without comparing texts.
+        if (!allocation.fitsIn(availableAtMost(candidate))) {
+            continue;
+        }
         const bool accepts = m_pool.acceptsRuns(worker, m_now);
         const bool usable = request.anyPlace ? WorkerPool::isUsable(worker) : accepts;
         if (worker.spec.service != request.service || !usable
@@ -101,26 +143,31 @@
             || (request.reservedRacks != nullptr && request.reservedRacks->contains(worker.spec.rack))) {
             continue;
         }
-        Candidate candidate{&worker, worker.free(), std::numeric_limits<std::uint32_t>::max(), id == request.avoided,
-                            !accepts};
+        candidate.avoided = id == request.avoided;
+        candidate.quarantined = !accepts;
         if (step.tasksPerWorkerMax > 0) {
             const auto there = request.stepTasks.find(id);
             const std::uint32_t running = there == request.stepTasks.end() ? 0 : there->second;
             candidate.tasksLeft = running >= step.tasksPerWorkerMax ? 0 : step.tasksPerWorkerMax - running;
         }
-        if (reclaimable != nullptr) {
-            if (const auto there = reclaimable->find(id); there != reclaimable->end()) {
-                candidate.reclaimable = &there->second;
-                candidate.available += there->second.pendingRelease;
-            }
-        }
-        if (candidate.tasksLeft > 0 && planEviction(candidate, allocation, {})) {
+        if (candidate.tasksLeft > 0) {
             found.push_back(candidate);
         }
     }
     return found;
 }
 
+Resources Placement::availableAtMost(const Candidate &candidate)
+{
+    Resources available = candidate.available;
+    if (candidate.reclaimable != nullptr) {
+        for (const EvictableRuns &run : candidate.reclaimable->runs) {
+            available += run.freed;
+        }
+    }
+    return available;
+}
+
 std::optional<Placement::Eviction> Placement::planEviction(const Candidate &candidate, const Resources &allocation,
                                                            const std::vector<const Unit *> &plannedVictims)
 {
--- a/src/heatherquay/state/batch/placement.hpp
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -113,8 +113,11 @@
     static bool losesRun(const Candidate &candidate, const std::vector<const Unit *> &victims);
     /// @return the workers that can run the step, by rack, whatever they run at present
     std::map<std::string, Candidates> workersByRack(const PlacementRequest &request) const;
+    class ReclaimableCursor;
     Candidates candidates(const PlacementRequest &request,
                           const std::map<WorkerId, ReclaimableResources> *reclaimable) const;
+    /// @return the free resources of the candidate after the eviction of all runs that can be evicted
+    static Resources availableAtMost(const Candidate &candidate);
     /// Selects victims in ascending order of cost until @p allocation fits, then drops those that are not needed.
     /// @param plannedVictims units whose eviction is already planned for other tasks
     /// @return std::nullopt when the task does not fit even after all evictions
