--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -249,12 +249,12 @@
 boost::asio::awaitable<void> Decider<Store, Worker>::waitForPollSlot(std::shared_ptr<Session> session)
 {
     const state::batch::Worker *worker = m_scheduler.workers().find(session->id);
-    const bool runs = worker != nullptr && worker->runs > 0;
-    const bool confirmsEnds = session->processedEnd > 0;
+    // A worker without runs may wait for the confirmation of its last ends.
+    const bool urgent = session->processedEnd > 0 || (worker != nullptr && worker->runs > 0);
     session->pollsAsSilent = worker != nullptr && worker->unreachable;
     auto &polls = session->pollsAsSilent ? m_silentPolls : m_polls;
     const auto queuedAt = Clock::now();
-    polls.push(runs || confirmsEnds ? SendClass::Urgent : SendClass::Ordinary, session->id, detail::pollBytes, session);
+    polls.push(urgent ? SendClass::Urgent : SendClass::Ordinary, session->id, detail::pollBytes, session);
     grantPolls();
     while (!session->mayPoll && !m_stopped) {
         session->wake.expires_after(detail::idlePollInterval);
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -18,8 +18,9 @@
 
 constexpr std::uint32_t jobsPerPurgeMax = 20; // Per pass, so that a backlog does not delay decisions.
 
-constexpr std::chrono::milliseconds lagInterval{100};
+constexpr std::chrono::milliseconds lagInterval{100}; // Between two measurements of the delay of timers.
 constexpr std::chrono::milliseconds loadLogInterval{1'000};
+
 constexpr std::uint32_t immediatePollsMax = 32; // Their answers take about 50 ms of a small processor share.
 
 constexpr std::uint32_t silentPollsMax = 16; // Leaves the processor to the workers that answer.
--- a/src/heatherquay/coordination/batch/election.hpp
+++ b/src/heatherquay/coordination/batch/election.hpp
@@ -244,13 +244,13 @@
 template<protocol::batch::RowStore Store>
 boost::asio::awaitable<void> Election<Store>::campaign()
 {
-    // Without this condition, a process whose mirror has fallen behind replaces a leader that sends heartbeats.
     const bool requested = std::exchange(m_takeoverRequested, false);
     TermRecord next = m_self;
     next.token.value = m_term.token.value + 1;
     protocol::batch::RowTransaction transaction;
     transaction.conditions.push_back(condition());
     if (!requested) {
+        // Rejects the campaign of a process whose mirror has fallen behind, while the leader sends heartbeats.
         transaction.conditions.push_back({{boardTable, deciderPart, heartbeatKey}, m_heartbeatVersion});
     }
     transaction.puts.push_back({{boardTable, deciderPart, termKey}, encodeTerm(next)});
