--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -742,17 +742,22 @@
 PoolUsage Scheduler::usage() const
 {
     PoolUsage usage;
+    const auto shareOf = [&usage](const RunLocation &run) -> std::int64_t & {
+        if (run.unit->stopping || run.unit->done) {
+            return usage.stopping;
+        }
+        if (run.member->phase == RunPhase::Reserved) {
+            return usage.reserved;
+        }
+        return run.member->phase == RunPhase::Running ? usage.running : usage.starting;
+    };
     for (const auto &[id, worker] : m_pool.all()) {
         usage.capacity += worker.registered ? worker.spec.capacity.accelerators : 0;
     }
     for (const auto &[id, runs] : m_runsOn) {
         for (const RunRef &ref : runs) {
             const RunLocation run = findRun(ref);
-            std::int64_t &share = run.unit->stopping || run.unit->done ? usage.stopping
-                : run.member->phase == RunPhase::Reserved              ? usage.reserved
-                : run.member->phase == RunPhase::Running               ? usage.running
-                                                                       : usage.starting;
-            share += allocationOf(*run.job, *run.unit).accelerators;
+            shareOf(run) += allocationOf(*run.job, *run.unit).accelerators;
         }
     }
     return usage;
