Let the processes of the decider's tests outlive their last writes

Cause: the fixture destroyed its deciders' processes and ran the rest of their coroutines after that; a write that was still in flight then confirmed the term to an object that was gone. Change: the fixture stops the processes, lets the coroutines end, and only then destroys them. No check changed.

--- a/tests/batch/decider_fixture.hpp
+++ b/tests/batch/decider_fixture.hpp
@@ -143,9 +143,12 @@
 
     ~DeciderFixture()
     {
-        process.reset();
-        successor.reset();
-        context.run_for(200ms); // Lets the deciders' coroutines finish.
+        for (DeciderProcess *running : {process.get(), successor.get()}) {
+            if (running != nullptr) {
+                running->kill();
+            }
+        }
+        context.run_for(200ms); // Lets the deciders' coroutines finish; a write in flight reports to its process.
     }
 
     FakeWorker &addWorker(const std::string &id, const std::string &label)
