--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -240,6 +240,7 @@
     {
         return m_server.address();
     }
+    std::atomic<Ms> answerTime{Ms(3)}; ///< Of each call.
     /// Writes a row as the operator or a runner does.
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
@@ -253,9 +254,12 @@
         const std::lock_guard lock(m_mutex);
         for (auto change = m_history.rbegin(); change != m_history.rend(); ++change) {
             const auto found = m_rows.find(change->key);
-            std::string text(beast::detail::base64::decoded_size(found == m_rows.end() ? 0 : found->second.value.size()), '\0');
+            std::string text(
+                beast::detail::base64::decoded_size(found == m_rows.end() ? 0 : found->second.value.size()), '\0');
             if (found != m_rows.end()) {
-                text.resize(beast::detail::base64::decode(text.data(), found->second.value.data(), found->second.value.size()).first);
+                text.resize(
+                    beast::detail::base64::decode(text.data(), found->second.value.data(), found->second.value.size())
+                        .first);
             }
             beast::error_code error;
             const json::value value = json::parse(text, error);
@@ -309,7 +313,11 @@
     }
     json::object rowJson(const Key &key, const Row &row) const
     {
-        return {{"table", key.table}, {"part", key.part}, {"key", key.key}, {"value", row.value}, {"rowVersion", row.version}};
+        return {{"table", key.table},
+                {"part", key.part},
+                {"key", key.key},
+                {"value", row.value},
+                {"rowVersion", row.version}};
     }
     json::object answer() const
     {
@@ -341,7 +349,7 @@
     std::optional<Response> handle(const Request &request)
     {
         const std::string target(request.target());
-        std::this_thread::sleep_for(Ms(2));
+        std::this_thread::sleep_for(answerTime.load());
         if (target == "/v1/rows-tx") {
             return transact(json::parse(request.body()));
         }
@@ -427,7 +435,9 @@
                 }
                 json::array rows;
                 for (const auto &[position, change] : ordered) {
-                    json::object row{{"table", change.key.table}, {"part", change.key.part}, {"key", change.key.key},
+                    json::object row{{"table", change.key.table},
+                                     {"part", change.key.part},
+                                     {"key", change.key.key},
                                      {"rowVersion", change.version}};
                     if (change.removed) {
                         row["tombstone"] = true;
@@ -604,7 +614,8 @@
     }
     /// Called for each start of a task; returns after which time the run ends and how, or nothing if it lasts.
     std::function<std::optional<std::pair<Ms, std::string>>(const std::string &task, std::uint32_t run)> plan;
-    /// Called with the runner, the task, the run and its kind of end ("started" at the start).
+    /// Called with the task, the run, and "started", its kind of end, or "noted" and this kind when lastSeen reaches
+    /// it.
     std::function<void(const std::string &task, std::uint32_t run, const std::string &how)> observe;
 
 private:
@@ -672,16 +683,29 @@
         for (const std::string &label : m_spec.labels) {
             labels.emplace_back(label);
         }
-        json::object entry{{"service", m_spec.service}, {"address", m_server.address()}, {"zone", m_spec.zone},
-                           {"version", "1.0"}, {"slots", 8}, {"state", m_draining ? "draining" : "ready"},
-                           {"coldRemainingMs", 0}, {"sequence", ++m_sequence}, {"born", m_born},
-                           {"machine", "m-" + m_spec.id}, {"labels", labels},
-                           {"capacity", json::object{{"cpu", m_spec.capacity.cpu}, {"memMb", m_spec.capacity.memory},
-                                                     {"gpu", m_spec.capacity.gpu}}}};
+        json::object entry{{"service", m_spec.service},
+                           {"address", m_server.address()},
+                           {"zone", m_spec.zone},
+                           {"version", "1.0"},
+                           {"slots", 8},
+                           {"state", m_draining ? "draining" : "ready"},
+                           {"coldRemainingMs", 0},
+                           {"sequence", ++m_sequence},
+                           {"born", m_born},
+                           {"machine", "m-" + m_spec.id},
+                           {"labels", labels},
+                           {"capacity",
+                            json::object{{"cpu", m_spec.capacity.cpu},
+                                         {"memMb", m_spec.capacity.memory},
+                                         {"gpu", m_spec.capacity.gpu}}}};
         if (m_draining) {
             entry["drainRemainingMs"] = 2'000;
         }
-        m_store.put("servers", m_spec.id, json::serialize(entry));
+        // Written apart, as a slow store must not stop the runner.
+        std::thread([&store = m_store, id = m_spec.id, text = json::serialize(entry)] {
+            std::this_thread::sleep_for(store.answerTime.load());
+            store.put("servers", id, text);
+        }).detach();
     }
     void tick()
     {
@@ -797,7 +821,8 @@
             return refuse("room");
         }
         extend(body);
-        Run run{number, Clock::now(), std::nullopt, "done", need, flagOf(step, "perpetual"), numberOf(step, "estimateMs")};
+        Run run{
+            number, Clock::now(), std::nullopt, "done", need, flagOf(step, "perpetual"), numberOf(step, "estimateMs")};
         if (!run.lasts) {
             run.endsAt = Clock::now() + Ms(run.work);
         }
@@ -821,6 +846,9 @@
         }
         const auto lastSeen = static_cast<std::uint64_t>(numberOf(body, "lastSeen"));
         while (!m_ended.empty() && m_ended.front().number <= lastSeen) {
+            if (observe) {
+                observe(m_ended.front().task, m_ended.front().run, "noted " + m_ended.front().how);
+            }
             m_ended.pop_front();
         }
         const auto until = Clock::now() + Ms(std::min<std::int64_t>(numberOf(body, "waitMs"), 2'000));
@@ -834,8 +862,9 @@
         json::array running;
         for (const auto &[task, run] : m_runs) {
             const std::int64_t passed = std::chrono::duration_cast<Ms>(Clock::now() - run.startedAt).count();
-            const std::int64_t percent = run.lasts ? (passed > 300 ? 100 : 0)
-                                                   : std::min<std::int64_t>(99, passed * 100 / std::max<std::int64_t>(run.work, 1));
+            const std::int64_t percent = run.lasts
+                ? (passed > 300 ? 100 : 0)
+                : std::min<std::int64_t>(99, passed * 100 / std::max<std::int64_t>(run.work, 1));
             running.push_back(json::array{task, run.number, "", percent, run.need.cpu});
         }
         json::array ended;
@@ -880,9 +909,12 @@
         , m_folder(folder)
     {
         for (std::string *address : {&m_front, &m_ready, &m_control}) {
-            asio::io_context context;
-            tcp::acceptor free(context, {asio::ip::make_address(loopback), 0});
-            *address = std::string(loopback) + ":" + std::to_string(free.local_endpoint().port());
+            // Bound, but not listening, so that no other program is given the port.
+            auto &held = m_ports.emplace_back(m_context);
+            held.open(tcp::v4());
+            held.bind({asio::ip::make_address(loopback), 0});
+            held.set_option(asio::socket_base::reuse_address(true)); // Lets the process bind it too.
+            *address = std::string(loopback) + ":" + std::to_string(held.local_endpoint().port());
         }
     }
     ~Entry()
@@ -976,6 +1008,8 @@
         return (m_folder / (m_name + ".toml")).string();
     }
 
+    asio::io_context m_context;
+    std::deque<tcp::acceptor> m_ports;
     std::string m_name;
     std::filesystem::path m_folder;
     std::string m_front;
@@ -1058,17 +1092,24 @@
     {
         json::array routes;
         for (const auto &[name, prefix, priority] : queues) {
-            routes.push_back(json::object{{"name", name}, {"host", host}, {"prefix", prefix}, {"service", "hire-desk"},
-                                          {"priority", priority}, {"maxAttempts", 3}, {"stretch", 3.0},
-                                          {"latencyTargetMs", 1'000}, {"timeoutMs", 3'000}});
+            routes.push_back(json::object{{"name", name},
+                                          {"host", host},
+                                          {"prefix", prefix},
+                                          {"service", "hire-desk"},
+                                          {"priority", priority},
+                                          {"maxAttempts", 3},
+                                          {"stretch", 3.0},
+                                          {"latencyTargetMs", 1'000},
+                                          {"timeoutMs", 3'000}});
         }
         const json::object configuration{
             {"version", ++m_version},
             {"routes", routes},
             {"services", json::array{json::object{{"name", "hire-desk"}, {"rejectsOverload", true}}}},
             {"limits", json::object{{"maxBodyBytes", 262'144}}},
-            {"tenants", json::array{json::object{{"name", "suva-shop"}, {"apiKeys", json::array{key}},
-                                                 {"guaranteed", json::object{{"gpu", 0}}}}}}};
+            {"tenants",
+             json::array{json::object{
+                 {"name", "suva-shop"}, {"apiKeys", json::array{key}}, {"guaranteed", json::object{{"gpu", 0}}}}}}};
         store.put("op", "config", json::serialize(configuration));
         record.line("operator wrote configuration " + std::to_string(m_version));
     }
@@ -1094,7 +1135,8 @@
         const std::vector<std::string> zones{"suva", "lautoka", "nadi"};
         std::vector<std::string> seeds;
         for (std::size_t i = 0; i < count; ++i) {
-            entries.push_back(std::make_unique<Entry>("frontend-" + zones[i % 3] + "-" + std::to_string(i / 3 + 1), m_folder));
+            entries.push_back(
+                std::make_unique<Entry>("frontend-" + zones[i % 3] + "-" + std::to_string(i / 3 + 1), m_folder));
             seeds.push_back(entries.back()->control());
         }
         for (std::size_t i = 0; i < count; ++i) {
@@ -1120,7 +1162,8 @@
         for (int attempt = 0; attempt < 5; ++attempt) {
             const auto [status, text] = call(entries[m_next++ % entries.size()]->front(), http::verb::post, prefix + id,
                                              host, key, json::serialize(body));
-            record.line("client POST " + prefix + id + " " + json::serialize(body) + " -> " + std::to_string(status) + " " + text);
+            record.line("client POST " + prefix + id + " " + json::serialize(body) + " -> " + std::to_string(status)
+                        + " " + text);
             if (status == 200) {
                 return true;
             }
@@ -1200,7 +1243,7 @@
 private:
     std::filesystem::path m_folder;
     std::int64_t m_version{10};
-    std::size_t m_next{};
+    std::atomic<std::size_t> m_next{};
 };
 
 /// Watches one task that lasts against the rule LOST: from 6 s after its last run it must not be without a run for 3 s
@@ -1231,12 +1274,12 @@
         m_begunAt = counts ? m_begunAt.value_or(now) : std::optional<Clock::time_point>();
         if (m_begunAt && now - *m_begunAt >= Ms(3'000) && !m_broken) {
             m_broken = true;
-            m_deployment.record.line(
-                "LOST: " + m_task + " has had no run for "
-                + std::to_string(std::chrono::duration_cast<Ms>(now - m_lastRunAt).count()) + " ms, calm for "
-                + std::to_string(std::chrono::duration_cast<Ms>(now - m_calmSince).count()) + " ms; it fits "
-                + std::to_string(m_deployment.timesThatFit(m_task)) + " times; share in use "
-                + std::to_string(m_deployment.usedShare()));
+            m_deployment.record.line("LOST: " + m_task + " has had no run for "
+                                     + std::to_string(std::chrono::duration_cast<Ms>(now - m_lastRunAt).count())
+                                     + " ms, calm for "
+                                     + std::to_string(std::chrono::duration_cast<Ms>(now - m_calmSince).count())
+                                     + " ms; it fits " + std::to_string(m_deployment.timesThatFit(m_task))
+                                     + " times; share in use " + std::to_string(m_deployment.usedShare()));
         }
         m_longest = std::max(m_longest, std::chrono::duration_cast<Ms>(now - m_lastRunAt));
     }
