Log restarts of workers and runs that are given up

A run lost with its worker, a start that never took effect and an end that was forgotten unseen look the same. Change: log lines worker-restarted (source, confirmed_end) and run-given-up (reason), counter heatherquay_releases_total. No decision changes.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -171,7 +171,8 @@
     boost::asio::awaitable<void> observeLoad();
     void handleReplacedWorker(const Session &session);
     /// Takes the incarnation from a registration or an answer of the worker.
-    void updateIncarnation(Session &session, state::batch::Incarnation incarnation);
+    /// @param source where the incarnation comes from, for the log
+    void updateIncarnation(Session &session, state::batch::Incarnation incarnation, const char *source);
     /// Accounts for the lease of a worker that may have restarted. An order that was sent to its earlier incarnation
     /// ends the lease at a time on the earlier clock, which the new incarnation reads as a lease of any length up to
     /// leaseMax.
--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -188,9 +188,18 @@
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
-void Decider<Store, Worker>::updateIncarnation(Session &session, state::batch::Incarnation incarnation)
+void Decider<Store, Worker>::updateIncarnation(Session &session, state::batch::Incarnation incarnation,
+                                               const char *source)
 {
+    const state::batch::Incarnation before = session.incarnation;
+    const std::uint64_t confirmedEnd = session.confirmedEnd;
     if (session.updateIncarnation(incarnation)) {
+        transport::log(transport::LogLevel::Info, "worker-restarted",
+                       {{"worker", session.id.value},
+                        {"incarnation", std::to_string(incarnation.value)},
+                        {"before", std::to_string(before.value)},
+                        {"confirmed_end", std::to_string(confirmedEnd)},
+                        {"source", source}});
         assumeLongestLease(session);
     }
 }
@@ -356,7 +365,7 @@
     if (answer.report.incarnation < session.incarnation) {
         co_return;
     }
-    updateIncarnation(session, answer.report.incarnation);
+    updateIncarnation(session, answer.report.incarnation, "poll");
     session.clock.update(answer.clock, Clock::now());
     answer.report.askedAt = askedAt;
     for (const auto &end : answer.report.ended) {
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -287,7 +287,7 @@
         session
             = std::make_shared<Session>(m_executor, spec.id, spec.address, m_ports.connect(spec), m_times.clockRateMin);
     }
-    updateIncarnation(*session, spec.incarnation);
+    updateIncarnation(*session, spec.incarnation, "registration");
     session->wake.cancel();
     if (m_recovered && !session->polling) {
         session->polling = true;
@@ -565,6 +565,13 @@
                         {"for_job", eviction.beneficiary.value},
                         {"lost_core_s", std::to_string(static_cast<std::int64_t>(eviction.lostCoreSeconds))}});
     }
+    for (const auto &release : decision.releases) {
+        transport::log(transport::LogLevel::Warn, "run-given-up",
+                       {{"task", toString(release.task)},
+                        {"run", std::to_string(release.run)},
+                        {"worker", release.worker.value},
+                        {"reason", releaseReasonName(release.reason)}});
+    }
     for (const auto &task : decision.hung) {
         transport::log(transport::LogLevel::Warn, "run-hung", {{"task", toString(task)}});
     }
--- a/src/heatherquay/coordination/batch/decider_metrics.cpp
+++ b/src/heatherquay/coordination/batch/decider_metrics.cpp
@@ -28,6 +28,12 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+std::string releaseReasonName(state::batch::ReleaseReason reason)
+{
+    constexpr std::array<const char *, 4> names{"lease-expired", "worker-restarted", "worker-replaced", "not-listed"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 DeciderMetrics::DeciderMetrics(transport::MetricsRegistry &registry)
     : m_registry(registry)
     , m_startLatency(
@@ -58,6 +64,12 @@
         .add(decision.evictions.size());
     m_registry.counter("heatherquay_hung_total", "Runs aborted because they made no progress")
         .add(decision.hung.size());
+    for (const state::batch::Release &release : decision.releases) {
+        m_registry
+            .counter("heatherquay_releases_total", "Runs given up without a reported end, by reason",
+                     {{"reason", releaseReasonName(release.reason)}})
+            .add();
+    }
 }
 
 void DeciderMetrics::recordDecisionTime(std::chrono::microseconds time)
--- a/src/heatherquay/coordination/batch/decider_metrics.hpp
+++ b/src/heatherquay/coordination/batch/decider_metrics.hpp
@@ -40,5 +40,7 @@
 std::string jobStateName(state::batch::JobState state);
 /// @return the name of a kind of run end in logs and metrics, such as "done"
 std::string endKindName(state::batch::EndKind kind);
+/// @return the name of the reason in logs and metrics, such as "lease-expired"
+std::string releaseReasonName(state::batch::ReleaseReason reason);
 
 } // namespace heatherquay::coordination::batch
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -222,7 +222,7 @@
             // answer to a poll shows whether it has.
             return;
         }
-        releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+        giveUpRun(ref, ReleaseReason::WorkerRestarted);
     } else {
         member.phase = RunPhase::Uncertain; // An unanswered order may still reach the new incarnation.
     }
@@ -251,7 +251,7 @@
         const RunLocation run = findRun(ref);
         if (detail::mayBeActive(*run.member)) {
             run.occurrence->changed = true;
-            releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+            giveUpRun(ref, ReleaseReason::WorkerReplaced);
         }
         if (!run.unit->done) {
             stopUnit(*run.unit);
@@ -343,8 +343,8 @@
         const bool settled = report.endsComplete && (member.phase == RunPhase::Running || member.stopAnswered);
         // Timestamps have millisecond resolution: a poll sent in the same millisecond may have overtaken the order.
         if (settled && report.askedAt > member.orderAnsweredAt) {
-            // The worker does not know the run: the start never took effect, or a predecessor confirmed the run's end.
-            releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+            // The start never took effect, or a predecessor confirmed the run's end.
+            giveUpRun(ref, ReleaseReason::NotListed);
             stopUnit(*run.unit);
             run.occurrence->changed = true;
         }
@@ -530,6 +530,14 @@
     }
 }
 
+void Scheduler::giveUpRun(const RunRef &ref, ReleaseReason reason)
+{
+    const RunLocation run = findRun(ref);
+    m_releases.push_back(
+        {taskOf(*run.job, *run.occurrence, *run.unit, ref.member), run.unit->run, run.member->worker, reason});
+    releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+}
+
 bool Scheduler::beginStart(const TaskId &task, std::uint32_t run)
 {
     const RunLocation located = findRun(task, run);
@@ -661,6 +669,7 @@
     }
     emitOrders(decision, now);
     collectRecords(decision, wall);
+    decision.releases = std::exchange(m_releases, {});
     return decision;
 }
 
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -119,6 +119,24 @@
     double lostCoreSeconds{};
 };
 
+/// Why a run was given up without an end reported by its worker.
+enum class ReleaseReason
+{
+    LeaseExpired, ///< The worker is silent, and its lease has expired.
+    WorkerRestarted,
+    WorkerReplaced, ///< Another worker answers at its address.
+    NotListed ///< The worker does not know the run.
+};
+
+/// A run that was given up, for the log.
+struct Release
+{
+    TaskId task;
+    std::uint32_t run{};
+    WorkerId worker;
+    ReleaseReason reason{};
+};
+
 /// Request to the advice service: which of the workers may run a step.
 struct AdviceOrder
 {
@@ -145,6 +163,7 @@
     std::vector<AdviceOrder> advice; ///< In order of urgency, most urgent first.
     std::vector<Eviction> evictions; ///< For the log.
     std::vector<TaskId> hung; ///< Runs stopped because they made no progress, for the log.
+    std::vector<Release> releases; ///< Since the previous pass, for the log.
 };
 
 /// Waiting and running work of a queue, for operators.
@@ -385,6 +404,8 @@
     void handleRestart(const RunRef &ref, Incarnation incarnation);
     /// Marks the member as gone and frees its resources.
     void releaseMember(Job &job, Occurrence &occurrence, Unit &unit, std::size_t member);
+    /// Gives up a run whose end no worker reports.
+    void giveUpRun(const RunRef &ref, ReleaseReason reason);
     void handleRunEnd(RunLocation &run, const EndReport &end, Instant now);
 
     /// Starts reserved units whose victims have ended.
@@ -453,6 +474,7 @@
     /// Reported runs that the scheduler does not know, with the worker and the time of the latest stop.
     std::map<std::pair<TaskId, std::uint32_t>, std::pair<WorkerId, Instant>> m_orphans;
     std::vector<StopOrder> m_orphanStops;
+    std::vector<Release> m_releases; ///< Since the latest pass.
     Instant m_decidedAt; ///< Time of the latest pass.
     Instant m_decidedAtWall; ///< Wall time of the latest pass.
     Instant m_firstDecidedAt; ///< Time of the first pass; zero before.
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -72,7 +72,7 @@
         for (const RunRef &ref : runs) {
             const RunLocation run = findRun(ref);
             stopUnit(*run.unit);
-            releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
+            giveUpRun(ref, ReleaseReason::LeaseExpired);
             run.occurrence->changed = true;
         }
     }
