Confirm the last ends of a worker that has become idle

Cause: the poll loop pauses for 20 ms after an answer with ends. Records stored in that pause left it with nothing to wait for and nothing running, so that it went idle and never told the worker. Change: the loop goes idle only after an answer without ends, and ends when the worker is not known any more. Evidence: the_last_ends_of_an_idle_worker_are_confirmed had 0 of 6 ends confirmed before, and has all now.

--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -219,13 +219,13 @@
 {
     const auto self = shared_from_this();
     while (!m_stopped && !session->closed) {
+        if (m_scheduler.workers().find(session->id) == nullptr) {
+            break;
+        }
         if (session->processedEnd > session->confirmedEnd) {
             session->wake.expires_after(m_times.recordTimeout);
             co_await session->wake.async_wait(detail::waitTuple);
-        } else if (!m_scheduler.needsPoll(session->id)) {
-            if (m_scheduler.workers().find(session->id) == nullptr) {
-                break;
-            }
+        } else if (session->listedEnd == 0 && !m_scheduler.needsPoll(session->id)) {
             session->wake.expires_after(detail::idlePollInterval);
             co_await session->wake.async_wait(detail::waitTuple);
             continue;
--- a/tests/workers/restarted_worker_ends_test.cpp
+++ b/tests/workers/restarted_worker_ends_test.cpp
@@ -246,4 +246,17 @@
     play({registration, startResponse, std::chrono::milliseconds(duration), busy, false, false});
 }
 
+// Guards against ends that are confirmed only with the next run: their record was stored during the pause after the
+// poll, and the worker was idle from then on.
+BOOST_AUTO_TEST_CASE(the_last_ends_of_an_idle_worker_are_confirmed)
+{
+    setTaskDuration(shortTask);
+    submit(test::makeJob("only", tasks, {3'000, 3'000, 2}, shortTask));
+    BOOST_REQUIRE(runUntil([this] {
+        return completed("only");
+    }));
+    runFor(confirmationTime);
+    BOOST_TEST(done.size() == tasks);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
