Let no worker report to a fixture that is being destroyed

Cause: the fixture of workers_restarted_worker_ends goes first, its base class then lets the deciders finish, and a poll in that time reports a change to the sets of the fixture that are gone: heap-use-after-free in observe(), called from ~DeciderFixture (AddressSanitizer). Seen once as malloc_consolidate() in case _101 beside another suite. Change: the fixture takes its callbacks off the workers before it goes.

--- a/tests/workers/restarted_worker_ends_test.cpp
+++ b/tests/workers/restarted_worker_ends_test.cpp
@@ -63,12 +63,21 @@
         start();
     }
 
+    ~RestartingWorkersFixture()
+    {
+        // The base class lets the deciders' coroutines finish, in which workers may still report changes.
+        for (auto &[id, worker] : workers) {
+            worker->observer = nullptr;
+            worker->beforeStart = nullptr;
+        }
+    }
+
     /// Plays the scenario and checks that every job completes and no task starts again after its end was confirmed.
     void play(const Scenario &scenario)
     {
         completeFirstJob(scenario.busy);
-        restartAtNextStart([this, &scenario](const std::string &id) {
-            if (scenario.registration == Registration::AtOnce) {
+        restartAtNextStart([this, registration = scenario.registration](const std::string &id) {
+            if (registration == Registration::AtOnce) {
                 registerWorker(id);
             }
         });
