Assume the longest lease of a worker that may have restarted before it got a call

A worker that restarts, gets an order for its earlier incarnation and is cut off before any answer runs a task beside its next run (TWICE). Cause: a lease ends at a time on the worker's clock, which a restart sets back, so that the new incarnation takes a lease of any length up to the longest. The decider assumed that length only when an answer showed the restart, and the intended one when the answer was lost. Change: an unanswered start or poll counts with the longest lease, unless it went over a connection on which the worker has answered as the known incarnation.

--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -109,6 +109,11 @@
             assumeLongestLease(*session);
         } else if (answer.clock) {
             session->clock.update(*answer.clock, Clock::now());
+            if (answer.connection) {
+                session->orderConnections.insert(*answer.connection);
+            }
+        } else if (answer.connection && !session->orderConnections.contains(*answer.connection)) {
+            assumeLongestLease(*session); // A later incarnation may have received the order.
         }
         session->wake.cancel();
     }
@@ -282,8 +287,7 @@
 bool Decider<Store, Worker>::mayWaitForEnds(const Session &session) const
 {
     const state::batch::Worker *worker = m_scheduler.workers().find(session.id);
-    const bool answered = session.connection || session.closesConnections;
-    return answered && worker != nullptr && worker->runs > 0 && worker->fenced && !worker->unreachable
+    return session.hasAnswered() && worker != nullptr && worker->runs > 0 && worker->fenced && !worker->unreachable
         && hasRecentClock(session);
 }
 
@@ -367,6 +371,9 @@
         co_return;
     }
     if (answer.status != protocol::batch::CallStatus::Answered) {
+        if (request.leaseUntil && !request.connection) {
+            assumeLongestLease(session); // A later incarnation may have received the lease.
+        }
         if (++session.failures == 1) {
             transport::log(transport::LogLevel::Warn, "worker-silent",
                            {{"worker", session.id.value}, {"error", answer.failure}});
--- a/src/heatherquay/coordination/batch/worker_session.hpp
+++ b/src/heatherquay/coordination/batch/worker_session.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -58,6 +59,8 @@
     /// Open connection over which the current incarnation has answered the latest poll. Calls over it cannot reach
     /// another incarnation, which numbers its run ends anew.
     std::optional<transport::ConnectionId> connection;
+    /// Connections over which the current incarnation has answered orders.
+    std::set<transport::ConnectionId> orderConnections;
     bool closesConnections{}; ///< The worker closed the connection after its latest answer.
     std::uint32_t startsInFlight{}; ///< Start orders without an answer.
     std::uint64_t startsSent{};
@@ -74,6 +77,12 @@
     bool pollsAsSilent{}; ///< That poll is in the queue of silent workers.
     bool closed{};
 
+    /// @return whether a poll goes to the incarnation that has answered the latest one, or at least to a worker that is
+    /// known to keep no connections
+    bool hasAnswered() const
+    {
+        return connection || closesConnections;
+    }
     /// @return the number of the newest run end that a poll may confirm; 0 for none
     std::uint64_t confirmableEnd() const
     {
@@ -93,6 +102,7 @@
         const bool restarted = incarnation.value != 0;
         incarnation = now;
         connection.reset();
+        orderConnections.clear();
         processedEnd = 0;
         confirmedEnd = 0;
         listedEnd = 0;
--- a/src/heatherquay/protocol/batch/worker_calls.hpp
+++ b/src/heatherquay/protocol/batch/worker_calls.hpp
@@ -64,6 +64,7 @@
 struct OrderAnswer
 {
     CallStatus status{CallStatus::Unknown};
+    std::optional<transport::ConnectionId> connection; ///< Over which the order was sent; empty when it was not.
     std::optional<WorkerTime> clock; ///< Empty when the answer has no reading.
     std::string failure;
 };
--- a/src/heatherquay/transport/http_client.cpp
+++ b/src/heatherquay/transport/http_client.cpp
@@ -330,8 +330,11 @@
         // The idle connections may be affected by the same failure, and each of them would show it only by a timeout.
         idle.clear();
     }
-    if (connection && connection->reusable()) {
+    if (result.progress != ExchangeProgress::NothingSent) {
         result.connection = pooled.id;
+    }
+    if (connection && connection->reusable()) {
+        result.connectionKept = true;
         idle.push_back(std::move(pooled));
     }
     releaseSlot();
--- a/src/heatherquay/transport/http_client.hpp
+++ b/src/heatherquay/transport/http_client.hpp
@@ -31,8 +31,9 @@
     bool timedOut{};
     bool refused{}; ///< Nothing listens at the peer's address.
     bool localRefusal{}; ///< Not sent for a local reason, which says nothing about the health of the peer.
-    /// Over which the exchange went, if it is open for another one. Set by HttpClient only.
+    /// Over which the exchange went; empty if progress is NothingSent. Set by HttpClient only.
     std::optional<ConnectionId> connection;
+    bool connectionKept{}; ///< The connection is open for another exchange. Set by HttpClient only.
 };
 
 struct HttpClientLimits
--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -137,7 +137,7 @@
         answer.failure = "the connection is closed";
         co_return answer;
     }
-    co_await protocol::waitFor(detail::callLatency);
+    co_await protocol::waitFor(pollDelay);
     if (request.connection && *request.connection != connection()) {
         answer.failure = "connection reset";
         co_return answer;
@@ -165,7 +165,7 @@
         answer.failure = "connection reset";
         co_return answer;
     }
-    if (dropsResponses || unreachable) {
+    if (dropsResponses || dropsPollResponses || unreachable) {
         co_await protocol::waitFor(timeout);
         co_return answer;
     }
@@ -224,7 +224,7 @@
     answer.clock = clock();
     if (dropsResponses || dropsStartResponses) {
         co_await protocol::waitFor(timeout);
-        co_return OrderAnswer{CallStatus::Unknown, std::nullopt, "no answer"};
+        co_return OrderAnswer{CallStatus::Unknown, connection(), std::nullopt, "no answer"};
     }
     if (startResponseDelay.count() > 0) {
         co_await protocol::waitFor(startResponseDelay);
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -95,6 +95,8 @@
     bool unreachable{}; ///< The worker neither executes calls nor responds to them.
     bool dropsResponses{}; ///< The worker executes calls but does not respond to them.
     bool dropsStartResponses{}; ///< The same, for start orders only.
+    bool dropsPollResponses{}; ///< The same, for polls only.
+    std::chrono::milliseconds pollDelay{1}; ///< Time from the arrival of a poll to its execution.
     std::chrono::milliseconds startResponseDelay{}; ///< Time from the execution of a start order to its response.
     std::function<void()> beforeStart; ///< Called when a start order arrives, before it is executed; may be empty.
     bool closesConnections{}; ///< The worker closes each connection after its response to a poll.
