Discard answers to calls that were sent to an earlier address or incarnation

Cause: a poll or a stop order under way when a worker registers at another address goes on, and its answer was used without asking whether its session was closed. A 421 from another worker at the earlier address ended all runs of the worker, those at the new address too. Change: a call notes the incarnation that it is sent to, and its answer is used only while the session is open and that incarnation is the latest one known. Discarded answers are logged.

--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -162,18 +162,21 @@
         co_return;
     }
     const auto session = found->second;
+    const auto exchange = session->beginExchange();
     const auto answer = co_await session->calls->stop(stop, m_token, m_times.orderTimeout);
     if (m_stopped) {
         co_return;
     }
+    const bool current = session->isCurrent(exchange);
     transport::log(transport::LogLevel::Info, "stop-ordered",
                    {{"task", toString(stop.task)},
                     {"run", std::to_string(stop.run)},
                     {"worker", stop.worker.value},
                     {"token", std::to_string(m_token.value)},
-                    {"outcome", answer.failure.empty() ? "answered" : answer.failure}});
+                    {"outcome", answer.failure.empty() ? "answered" : answer.failure},
+                    {"discarded", current ? "false" : "true"}});
     m_ports.metrics->countStop(answer.status == protocol::batch::CallStatus::Answered);
-    if (answer.status == protocol::batch::CallStatus::Answered) {
+    if (current && answer.status == protocol::batch::CallStatus::Answered) {
         m_scheduler.stopAnswered(stop.task, stop.run, now());
         session->wake.cancel();
         wake();
@@ -182,7 +185,7 @@
     m_scheduler.stopUnanswered(stop.task, stop.run, now());
     if (answer.status == protocol::batch::CallStatus::Fenced) {
         m_ports.depose("a worker has seen a higher fencing token");
-    } else if (answer.status == protocol::batch::CallStatus::OtherIncarnation) {
+    } else if (current && answer.status == protocol::batch::CallStatus::OtherIncarnation) {
         handleReplacedWorker(*session);
     }
     wake();
@@ -241,7 +244,7 @@
         if (m_stopped) {
             co_return;
         }
-        if (!session->closed && !co_await endsWithoutException(poll(*session))) {
+        if (!session->closed && !co_await endsWithoutException(poll(*session)) && !session->closed) {
             m_scheduler.workerUnreachable(session->id);
             wake();
             ++session->failures;
@@ -350,6 +353,7 @@
         m_scheduler.leaseExtended(session.id, latestLeaseExpiry(m_times.lease));
     }
     const state::Instant askedAt = now();
+    const auto exchange = session.beginExchange();
     auto answer = co_await session.calls->poll(request, request.wait + m_times.pollResponseMargin);
     if (m_stopped) {
         co_return;
@@ -364,6 +368,15 @@
         m_ports.depose("a worker has seen a higher fencing token");
         co_return;
     }
+    // An answered poll names its incarnation; everything else concerns the one that the poll was sent to.
+    const bool names = answer.status == protocol::batch::CallStatus::Answered;
+    if (session.closed || (!names && !session.isCurrent(exchange))) {
+        transport::log(transport::LogLevel::Info, "poll-discarded",
+                       {{"worker", session.id.value},
+                        {"address", session.address},
+                        {"outcome", names ? "answered" : answer.failure}});
+        co_return;
+    }
     if (answer.status == protocol::batch::CallStatus::OtherIncarnation) {
         handleReplacedWorker(session);
         wake();
--- a/src/heatherquay/coordination/batch/worker_session.hpp
+++ b/src/heatherquay/coordination/batch/worker_session.hpp
@@ -75,8 +75,23 @@
     bool mayPoll{}; ///< The queue of polls has let this session's poll through.
     std::uint64_t pollTicket{}; ///< Of that poll.
     bool pollsAsSilent{}; ///< That poll is in the queue of silent workers.
-    bool closed{};
+    bool closed{}; ///< The worker is gone or has another address; answers of this session are discarded.
 
+    /// Identifies what a call was sent to.
+    struct Exchange
+    {
+        state::batch::Incarnation incarnation;
+    };
+    Exchange beginExchange() const
+    {
+        return {incarnation};
+    }
+    /// @return whether the answer to a call of the exchange concerns the worker as it is known now: the worker has
+    /// neither restarted nor moved to another address since
+    bool isCurrent(const Exchange &exchange) const
+    {
+        return !closed && incarnation == exchange.incarnation;
+    }
     /// @return whether a poll goes to the incarnation that has answered the latest one, or at least to a worker that is
     /// known to keep no connections
     bool hasAnswered() const
--- a/tests/emulator/fake_worker.cpp
+++ b/tests/emulator/fake_worker.cpp
@@ -138,6 +138,11 @@
         co_return answer;
     }
     co_await protocol::waitFor(pollDelay);
+    if (replaced) {
+        answer.status = CallStatus::OtherIncarnation;
+        answer.failure = "another worker";
+        co_return answer;
+    }
     if (request.connection && *request.connection != connection()) {
         answer.failure = "connection reset";
         co_return answer;
@@ -195,6 +200,11 @@
         co_return answer;
     }
     co_await protocol::waitFor(detail::callLatency);
+    if (replaced) {
+        answer.status = CallStatus::OtherIncarnation;
+        answer.failure = "another worker";
+        co_return answer;
+    }
     if (const auto action = beforeStart) {
         action(); // May replace beforeStart.
     }
@@ -241,7 +251,12 @@
         co_await protocol::waitFor(timeout);
         co_return answer;
     }
-    co_await protocol::waitFor(detail::callLatency);
+    co_await protocol::waitFor(stopDelay);
+    if (replaced) {
+        answer.status = CallStatus::OtherIncarnation;
+        answer.failure = "another worker";
+        co_return answer;
+    }
     if (rejectStaleToken(token)) {
         answer.status = CallStatus::Fenced;
         co_return answer;
