Take no clock from an answer to a start that an earlier incarnation sent

A task on a restarted worker that is cut off can run beside its next run. Cause: the answer of the earlier incarnation to a start order can arrive after the registration of the next one has reset the clock. Its reading, which is larger, was then kept for the new incarnation, later readings were ignored as old, and leases became as long as the worker allows. Change: an answer to a start is used only if the worker is still the incarnation that it was sent to; an accepted start counts as unanswered otherwise.

--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -103,8 +103,14 @@
         clockUncertainty = session->clock.uncertainty(Clock::now());
         const protocol::batch::WorkerTime clockWhenSent = session->clock.earliest(Clock::now());
         const typename Session::StartInFlight inFlight(*session);
+        const auto exchange = session->beginExchange();
         answer = co_await session->calls->start(start, m_token, leaseEnd(*session), m_times.orderTimeout);
-        if (answer.clock && *answer.clock < clockWhenSent) {
+        if (!session->isCurrent(exchange)) {
+            if (answer.status == protocol::batch::CallStatus::Answered) {
+                answer.status = protocol::batch::CallStatus::Unknown;
+                answer.failure = "answered, but the worker has restarted or moved meanwhile";
+            }
+        } else if (answer.clock && *answer.clock < clockWhenSent) {
             // Only a restart sets a worker's clock back. The next poll shows the new incarnation.
             assumeLongestLease(*session);
         } else if (answer.clock) {
--- a/tests/workers/late_answers_test.cpp
+++ b/tests/workers/late_answers_test.cpp
@@ -11,6 +11,7 @@
 using namespace std::chrono_literals;
 using test::DeciderFixture;
 using test::FakeWorker;
+using test::longestLease;
 using test::RunChange;
 
 namespace
@@ -19,6 +20,8 @@
 constexpr std::chrono::milliseconds longTask{10'000};
 constexpr std::chrono::milliseconds callDelay{80}; // Within the decider's timeout for polls, above that for orders.
 constexpr std::chrono::milliseconds orderDelay{50}; // Within the decider's timeout for orders.
+constexpr std::chrono::milliseconds earlierLife{1'100}; // Longer than the longest lease.
+constexpr std::chrono::milliseconds settlingTime{30};
 
 /// One worker whose runs are watched.
 struct LateAnswersFixture : DeciderFixture
@@ -116,4 +119,28 @@
     BOOST_TEST(mostActive == 1);
 }
 
+// Guards against a lease that outlasts what the decider assumes: the clock in a late answer of the earlier incarnation
+// was taken for that of the restarted worker.
+BOOST_AUTO_TEST_CASE(a_late_answer_does_not_set_the_clock_of_the_next_incarnation)
+{
+    FakeWorker &worker = *workers.at("w0");
+    worker.leaseMax = longestLease;
+    runFor(earlierLife);
+    process->confirmedAt = std::chrono::steady_clock::now();
+    worker.startResponseDelay = orderDelay;
+    submit("a", 1);
+    BOOST_REQUIRE(runUntil([&] {
+        return worker.running() == 1;
+    }));
+    worker.restart();
+    registerWorker("w0");
+    runFor(orderDelay);
+    worker.startResponseDelay = 0ms;
+    BOOST_REQUIRE(runUntil([&] {
+        return worker.running() == 1;
+    }));
+    runFor(settlingTime);
+    BOOST_TEST((worker.leaseUntil() - worker.clock()).count() <= 300);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
