Account for the lease of a start whose answer comes after a restart, and split its handling

Change: updateClock() takes the clock of an answer or assumes the longest lease, also for discarded answers.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -171,6 +171,11 @@
     boost::asio::awaitable<void> adviceLoop();
     /// Measures the delay of timers, and logs the load of the decider.
     boost::asio::awaitable<void> observeLoad();
+    /// Takes the worker's clock from the answer to a start, or accounts for a lease that a later incarnation may have
+    /// got.
+    /// @param clockWhenSent lower bound of the clock when the order was sent
+    void updateClock(Session &session, const typename Session::Exchange &exchange,
+                     protocol::batch::WorkerTime clockWhenSent, const protocol::batch::OrderAnswer &answer);
     void handleReplacedWorker(const Session &session);
     /// Takes the incarnation from a registration or an answer of the worker.
     /// @param source where the incarnation comes from, for the log
--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -105,21 +105,10 @@
         const typename Session::StartInFlight inFlight(*session);
         const auto exchange = session->beginExchange();
         answer = co_await session->calls->start(start, m_token, leaseEnd(*session), m_times.orderTimeout);
-        if (!session->isCurrent(exchange)) {
-            if (answer.status == protocol::batch::CallStatus::Answered) {
-                answer.status = protocol::batch::CallStatus::Unknown;
-                answer.failure = "answered, but the worker has restarted or moved meanwhile";
-            }
-        } else if (answer.clock && *answer.clock < clockWhenSent) {
-            // Only a restart sets a worker's clock back. The next poll shows the new incarnation.
-            assumeLongestLease(*session);
-        } else if (answer.clock) {
-            session->clock.update(*answer.clock, Clock::now());
-            if (answer.connection) {
-                session->orderConnections.insert(*answer.connection);
-            }
-        } else if (answer.connection && !session->orderConnections.contains(*answer.connection)) {
-            assumeLongestLease(*session); // A later incarnation may have received the order.
+        updateClock(*session, exchange, clockWhenSent, answer);
+        if (answer.status == protocol::batch::CallStatus::Answered && !session->isCurrent(exchange)) {
+            answer.status = protocol::batch::CallStatus::Unknown;
+            answer.failure = "answered, but the worker has restarted or moved meanwhile";
         }
         session->wake.cancel();
     }
@@ -158,6 +147,27 @@
     wake();
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::updateClock(Session &session, const typename Session::Exchange &exchange,
+                                         protocol::batch::WorkerTime clockWhenSent,
+                                         const protocol::batch::OrderAnswer &answer)
+{
+    const bool current = session.isCurrent(exchange);
+    // Only a restart sets a worker's clock back. The next poll shows the new incarnation.
+    if (current && answer.clock && *answer.clock >= clockWhenSent) {
+        session.clock.update(*answer.clock, Clock::now());
+        if (answer.connection) {
+            session.orderConnections.insert(*answer.connection);
+        }
+        return;
+    }
+    const bool sentToIncarnation
+        = !answer.clock && (!answer.connection || session.orderConnections.contains(*answer.connection));
+    if (!current || !sentToIncarnation) {
+        assumeLongestLease(session); // A later incarnation may have received the order.
+    }
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 boost::asio::awaitable<void> Decider<Store, Worker>::order(state::batch::StopOrder stop)
 {
--- a/tests/workers/late_answers_test.cpp
+++ b/tests/workers/late_answers_test.cpp
@@ -59,7 +59,7 @@
     /// @return the earlier incarnation
     std::shared_ptr<FakeWorker> moveWorker()
     {
-        const auto before = workers.at("w0");
+        auto before = workers.at("w0");
         state::batch::WorkerSpec spec = before->spec;
         before->restart(); // Ends its runs.
         before->replaced = true;
