Let a lasting task take any place after two seconds, however full the service is

Cause: waiting for the rack of its data, or for racks that are not reserved for gangs, ended after 2 s only while less than half of the service was in use. The rule has no such condition for tasks that last, and the lasting tasks that keep them out never end. Change: the condition does not hold for steps that last. Evidence: both new cases of batch_stand_still failed before (6 of 7, 5 of 6 runs after 3 s).

--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -37,8 +37,9 @@
     /// progress. Leaves room for an estimate that is a tenth of the length and a worker of a quarter of the usual
     /// speed.
     double hungShareBeforeProgress{0.45};
-    /// How long a step waits for the rack or the healthy workers that it prefers while less than this share of its
-    /// service is in use. Then it takes any place, because a slow run is better than none.
+    /// How long a step waits for the rack or the healthy workers that it prefers, or for racks reserved for gangs. Then
+    /// it takes any place, because a slow run is better than none; a step that does not last only while less than this
+    /// share of its service is in use.
     Duration preferenceWait{2'000};
     double preferenceUseMax{0.5};
     std::uint32_t reservedRacksMax{2}; ///< Racks reserved for gangs at the same time; a third of a small pool.
@@ -415,7 +416,7 @@
     /// Places a step that has waited too long for a preferred place on any free resources.
     /// @return whether all waiting units of the step have a place
     bool placeAnywhere(const ReadyStep &ready, Decision &decision, Instant now, std::size_t startsMax);
-    /// @return whether the step has waited for preferenceWait in a service with enough room
+    /// @return whether the step has waited for preferenceWait and either lasts or is in a service with enough room
     bool takesAnyPlace(const ReadyStep &ready, Instant now);
     /// @return the share of the service's capacity that is allocated; computed once a pass
     double usedShare(const std::string &service);
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -267,7 +267,9 @@
     const bool waited = std::any_of(ready.units.begin(), ready.units.end(), [&](const Unit *unit) {
         return unit->waiting() && now - unit->readySince >= m_settings.preferenceWait;
     });
-    return waited && usedShare(ready.job->policy.service) < m_settings.preferenceUseMax;
+    // Runs that last do not make room, so that waiting may never end, however full the service is.
+    const bool lasts = ready.job->spec.steps[ready.step].perpetual;
+    return waited && (lasts || usedShare(ready.job->policy.service) < m_settings.preferenceUseMax);
 }
 
 bool Scheduler::placeAnywhere(const ReadyStep &ready, Decision &decision, Instant now, std::size_t startsMax)
--- a/tests/batch/pool_simulation.cpp
+++ b/tests/batch/pool_simulation.cpp
@@ -74,6 +74,15 @@
     m_scheduler->cancel(job);
 }
 
+void PoolSimulation::failRun(const TaskId &task)
+{
+    for (std::size_t i = m_runs.size(); i-- > 0;) {
+        if (m_runs[i].task == task) {
+            endRun(i, EndKind::Failed);
+        }
+    }
+}
+
 void PoolSimulation::cancelUnnoticed(const JobId &job)
 {
     m_cancelled.insert(job);
--- a/tests/batch/pool_simulation.hpp
+++ b/tests/batch/pool_simulation.hpp
@@ -60,6 +60,8 @@
     /// @param work true run time of a task at speed 1; the declared estimate by default
     void submit(state::batch::JobSpec job, std::optional<state::Duration> work = std::nullopt);
     void cancel(const state::JobId &job);
+    /// Ends the active runs of the task as failed.
+    void failRun(const TaskId &task);
     /// Records a cancellation without telling the scheduler, as if it crashed before learning of it.
     void cancelUnnoticed(const state::JobId &job);
     /// Advances the simulation in steps of 10 ms.
--- a/tests/batch/stand_still_test.cpp
+++ b/tests/batch/stand_still_test.cpp
@@ -2,6 +2,9 @@
 
 #include "batch/pool_simulation.hpp"
 
+#include <string>
+#include <tuple>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace heatherquay;
@@ -189,4 +192,59 @@
     BOOST_TEST((pool.stateOf({"a"}) == JobState::Completed));
 }
 
+// Guards against a lasting task that waits for its data's rack for ever: other lasting tasks fill the rack, and more
+// than half of the service is in use.
+BOOST_AUTO_TEST_CASE(a_lasting_task_does_not_wait_for_ever_for_a_rack_in_a_service_in_use)
+{
+    PoolSimulation pool;
+    pool.addWorkers(8, 4, machine);
+    const auto lasting = [](const std::string &id, std::uint32_t tasks, const std::string &rack) {
+        auto job = makeJob(id, tasks, machine, 500ms);
+        job.steps.front().perpetual = true;
+        job.steps.front().requiredLabel = rack;
+        return job;
+    };
+    pool.submit(lasting("near", 4, "r0"), 600'000ms);
+    pool.submit(lasting("far", 2, "r1"), 600'000ms);
+    pool.advance(1s);
+    BOOST_REQUIRE(pool.running() == 6U);
+    auto watched = makeJob("a", 1, machine, 500ms);
+    watched.steps.front().perpetual = true;
+    watched.steps.front().dataRack = "r0";
+    pool.submit(watched, 600'000ms);
+    pool.advance(3s);
+    BOOST_TEST(pool.running() == 7U);
+}
+
+// Guards against a lasting task that is kept out for ever by racks reserved for gangs that cannot have them: other
+// lasting tasks run there, and more than half of the service is in use.
+BOOST_AUTO_TEST_CASE(reserved_racks_do_not_keep_a_lasting_task_out_for_ever)
+{
+    PoolSimulation pool;
+    pool.addWorkers(8, 4, machine);
+    for (const auto &[id, tasks, rack] : {std::tuple("x", 3U, "r0"), std::tuple("y", 2U, "r1")}) {
+        auto job = makeJob(id, tasks, machine, 500ms);
+        job.steps.front().perpetual = true;
+        job.steps.front().requiredLabel = rack;
+        pool.submit(job, 600'000ms);
+    }
+    pool.advance(1s);
+    auto watched = makeJob("a", 1, {8'000, 32'000, 1}, 500ms);
+    watched.steps.front().perpetual = true;
+    pool.submit(watched, 600'000ms);
+    pool.advance(1s);
+    BOOST_REQUIRE(pool.running() == 6U);
+    for (const char *id : {"gang0", "gang1"}) {
+        auto gang = makeJob(id, 4, machine, 20'000ms);
+        gang.steps.front().gang = true;
+        gang.steps.front().sameRack = true;
+        pool.submit(gang, 20'000ms);
+    }
+    pool.advance(15s);
+    BOOST_REQUIRE(pool.running() == 6U);
+    pool.failRun({{"a"}, 0, 0, 0});
+    pool.advance(3s);
+    BOOST_TEST(pool.running() == 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
