Let tasks that serve share a worker with best-effort tasks, and pace those

Cause: the two kinds excluded each other from a worker without an end, in place of a control of best-effort work. Change: the exclusion is a preference that ends after 2 s. Best-effort runs beside runs with a latency target are paced by the reported response times: from 0 %, halved while one is over its target, 10 points more while all are under 0.7 of it. Pace orders are repeated until they are answered; a successor orders the pace anew. Tests: the simulation's check that the kinds never meet stated the fault; it now asks that they meet only where no other worker has room, and that no response time is over its target for 4 s because of best-effort work.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -134,7 +134,7 @@
 
 private:
     using std::enable_shared_from_this<Decider>::shared_from_this;
-    using Orders = SendQueue<std::variant<state::batch::StartOrder, state::batch::StopOrder>>;
+    using Orders = SendQueue<std::variant<state::batch::StartOrder, state::batch::StopOrder, state::batch::PaceOrder>>;
 
     boost::asio::awaitable<void> run();
     /// Restores the scheduler from the stored records.
@@ -162,12 +162,14 @@
     boost::asio::awaitable<void> poll(Session &session);
     void queue(state::batch::StartOrder start);
     void queue(state::batch::StopOrder stop);
+    void queue(state::batch::PaceOrder pace);
     /// Sends the queued orders that may be sent now, and sets a timer for the next one.
     void sendOrders();
     /// Sends one order and then those that its answer allows.
     boost::asio::awaitable<void> send(typename Orders::Sent sent);
     boost::asio::awaitable<void> order(state::batch::StartOrder start);
     boost::asio::awaitable<void> order(state::batch::StopOrder stop);
+    boost::asio::awaitable<void> order(state::batch::PaceOrder pace);
     boost::asio::awaitable<void> adviceLoop();
     /// Measures the delay of timers, and logs the load of the decider.
     boost::asio::awaitable<void> observeLoad();
--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -38,6 +38,13 @@
     m_orders.push(SendClass::Urgent, worker, detail::orderOverheadBytes, std::move(stop));
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+void Decider<Store, Worker>::queue(state::batch::PaceOrder pace)
+{
+    const state::WorkerId worker = pace.worker;
+    m_orders.push(SendClass::Urgent, worker, detail::orderOverheadBytes, std::move(pace));
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 void Decider<Store, Worker>::sendOrders()
 {
@@ -70,6 +77,10 @@
         if (!co_await endsWithoutException(order(std::move(*start)))) {
             m_scheduler.startAnswered(task, run, state::batch::StartOutcome::Unknown, now());
         }
+    } else if (auto *pace = std::get_if<state::batch::PaceOrder>(&sent.order)) {
+        if (!co_await endsWithoutException(order(*pace))) {
+            m_scheduler.paceAnswered(*pace, false, now());
+        }
     } else {
         const state::batch::StopOrder stop = std::get<state::batch::StopOrder>(std::move(sent.order));
         if (!co_await endsWithoutException(order(stop))) {
@@ -207,6 +218,35 @@
     wake();
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+boost::asio::awaitable<void> Decider<Store, Worker>::order(state::batch::PaceOrder pace)
+{
+    const auto self = shared_from_this();
+    const auto found = m_sessions.find(pace.worker);
+    if (m_stopped || found == m_sessions.end()) {
+        m_scheduler.paceAnswered(pace, false, now());
+        co_return;
+    }
+    const auto session = found->second;
+    const auto exchange = session->beginExchange();
+    const auto answer = co_await session->calls->pace(pace, m_token, m_times.orderTimeout);
+    if (m_stopped) {
+        co_return;
+    }
+    const bool answered = answer.status == protocol::batch::CallStatus::Answered && session->isCurrent(exchange);
+    transport::log(transport::LogLevel::Info, "run-paced",
+                   {{"task", toString(pace.task)},
+                    {"run", std::to_string(pace.run)},
+                    {"worker", pace.worker.value},
+                    {"percent", std::to_string(pace.percent)},
+                    {"outcome", answer.failure.empty() ? "answered" : answer.failure}});
+    m_scheduler.paceAnswered(pace, answered, now());
+    if (answer.status == protocol::batch::CallStatus::Fenced) {
+        m_ports.depose("a worker has seen a higher fencing token");
+    }
+    wake();
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 void Decider<Store, Worker>::handleReplacedWorker(const Session &session)
 {
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -418,6 +418,9 @@
     for (state::batch::StopOrder &stop : decision.stops) {
         queue(std::move(stop));
     }
+    for (state::batch::PaceOrder &pace : decision.paces) {
+        queue(std::move(pace));
+    }
     sendOrders();
     m_adviceOrders.insert(m_adviceOrders.end(), decision.advice.begin(), decision.advice.end());
     if (!m_adviceOrders.empty() && !m_adviceLoopRunning) {
--- a/src/heatherquay/protocol/batch/worker_calls.hpp
+++ b/src/heatherquay/protocol/batch/worker_calls.hpp
@@ -60,7 +60,7 @@
     std::string failure;
 };
 
-/// Answer to a start or stop order.
+/// Answer to a start, stop or pace order.
 struct OrderAnswer
 {
     CallStatus status{CallStatus::Unknown};
@@ -82,8 +82,8 @@
 /// not throw.
 template<typename W>
 concept WorkerCalls = requires(W worker, const PollRequest &poll, const state::batch::StartOrder &start,
-                               const state::batch::StopOrder &stop, FencingToken token, WorkerTime leaseUntil,
-                               std::chrono::milliseconds timeout)
+                               const state::batch::StopOrder &stop, const state::batch::PaceOrder &pace,
+                               FencingToken token, WorkerTime leaseUntil, std::chrono::milliseconds timeout)
 {
     {
         worker.poll(poll, timeout)
@@ -94,6 +94,9 @@
     {
         worker.stop(stop, token, timeout)
         } -> std::same_as<boost::asio::awaitable<OrderAnswer>>;
+    {
+        worker.pace(pace, token, timeout)
+        } -> std::same_as<boost::asio::awaitable<OrderAnswer>>;
 };
 
 } // namespace heatherquay::protocol::batch
--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -21,6 +21,7 @@
 constexpr double unmeasuredSlowness = 1.2;
 constexpr double avoidedWorkerPenalty = 1'000.0; // The worker of the last failure is the last resort.
 constexpr double quarantinePenalty = 500.0; // Such a worker comes last, but before the one of the last failure.
+constexpr double interferencePenalty = 250.0; // Sharing a worker comes before one that may fail the run.
 constexpr double lostWorkWeight = 0.1; // Per core-second of work lost by eviction.
 
 std::uint32_t copiesThatFit(const Resources &need, const Resources &available)
@@ -37,7 +38,7 @@
     return static_cast<std::uint32_t>(copies);
 }
 
-/// Best-effort tasks and tasks with a latency bound never share a worker, because the former raise response times.
+/// Best-effort tasks raise the response times of tasks with a latency bound.
 bool interferes(const StepSpec &step, const Worker &worker)
 {
     return (step.bestEffort && worker.latencyBoundRuns > 0)
@@ -138,7 +139,7 @@
         const bool usable = request.anyPlace ? WorkerPool::isUsable(worker) : accepts;
         if (worker.spec.service != request.service || !usable
             || (!step.requiredLabel.empty() && !worker.hasLabel(step.requiredLabel))
-            || worker.slowness > request.slownessMax || detail::interferes(step, worker)
+            || worker.slowness > request.slownessMax || (!request.anyPlace && detail::interferes(step, worker))
             || (request.tickets != nullptr && !request.tickets->contains(id))
             || (request.reservedRacks != nullptr && request.reservedRacks->contains(worker.spec.rack))) {
             continue;
@@ -236,6 +237,9 @@
     if (candidate.quarantined) {
         score += detail::quarantinePenalty;
     }
+    if (detail::interferes(*request.step, worker)) {
+        score += detail::interferencePenalty;
+    }
     if (!eviction->units.empty()) {
         score += detail::lostWorkWeight * eviction->cost + 1;
     }
--- a/src/heatherquay/state/batch/placement.hpp
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -30,7 +30,8 @@
     bool urgent{};
     double slownessMax{std::numeric_limits<double>::max()}; ///< Slower workers are excluded.
     const std::map<WorkerId, std::string> *tickets{}; ///< Only these workers may be used; null allows any.
-    /// Uses racks other than the preferred one, and workers in quarantine where no other fits.
+    /// Uses racks other than the preferred one, and, where no other fits, workers in quarantine and those on which
+    /// best-effort tasks and tasks with a latency bound come together.
     bool anyPlace{};
     const std::set<std::string> *reservedRacks{}; ///< Racks reserved for other gangs; null for none.
 };
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -22,6 +22,7 @@
 constexpr double queueMeanWeight = 0.05; // The queue's mean run time, from which jobs deviate by half.
 constexpr double learnedSlownessMin = 0.3;
 constexpr double learnedSlownessMax = 8; // Slower than any working worker.
+constexpr std::uint32_t fullPace = 100; // Of a run at its start.
 
 bool mayBeActive(const Member &member)
 {
@@ -324,6 +325,7 @@
             }
             member.incarnation = report.incarnation;
             member.reportedAt = now;
+            member.usage = entry.usage;
             if (member.confirmedAt == Instant{}) {
                 member.confirmedAt = now;
             }
@@ -354,6 +356,7 @@
             handleLateDone(entry);
         }
     }
+    adaptSharingPace(*m_pool.find(id), now);
     for (const auto &[key, entry] : running) {
         auto &[where, stoppedAt] = m_orphans[key];
         where = id;
@@ -577,6 +580,7 @@
         member.confirmedAt = now;
         member.progressAt = now;
         member.percentKnown = located.unit->checkpoint.empty();
+        member.pace = detail::fullPace;
         return;
     case StartOutcome::Unknown:
     case StartOutcome::NotSent:
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -42,6 +42,13 @@
     /// share of its service is in use.
     Duration preferenceWait{2'000};
     double preferenceUseMax{0.5};
+    /// Control of best-effort runs beside runs with a latency target: their pace falls to this share while a response
+    /// time is over its target, and rises by this many percent while all are below this share of it.
+    double paceDecrease{0.5};
+    std::uint32_t paceIncrease{10};
+    double paceHeadroom{0.7};
+    std::uint32_t paceMin{10}; ///< Below this percentage, best-effort runs pause.
+    Duration paceSettleTime{700}; ///< After a change, until the reported response times reflect it.
     std::uint32_t reservedRacksMax{2}; ///< Racks reserved for gangs at the same time; a third of a small pool.
     /// Pause after a gang or an urgent step found no place; doubles with each further failure. A search over all
     /// workers takes milliseconds.
@@ -101,6 +108,15 @@
     WorkerId worker;
 };
 
+/// Order to let a best-effort run work at a share of its usual speed.
+struct PaceOrder
+{
+    TaskId task;
+    std::uint32_t run{};
+    WorkerId worker;
+    std::uint32_t percent{};
+};
+
 /// Result of a start order.
 enum class StartOutcome
 {
@@ -161,6 +177,7 @@
     std::vector<ScheduleChange> schedules; ///< Must be stored before the records that they replace are removed.
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops; ///< May be sent without storing a record first.
+    std::vector<PaceOrder> paces; ///< May be sent without storing a record first.
     std::vector<AdviceOrder> advice; ///< In order of urgency, most urgent first.
     std::vector<Eviction> evictions; ///< For the log.
     std::vector<TaskId> hung; ///< Runs stopped because they made no progress, for the log.
@@ -231,6 +248,9 @@
     /// Reports that a stop order was not answered, or not sent. It is repeated while the run may exist.
     void stopUnanswered(const TaskId &task, std::uint32_t run, Instant now);
 
+    /// Reports the outcome of a pace order. It is repeated until the worker has answered.
+    void paceAnswered(const PaceOrder &order, bool answered, Instant now);
+
     /// Handles the answer to an AdviceOrder.
     /// @param tickets by worker that may run the step; nothing when the call failed
     /// @param validity lifetime of the tickets
@@ -459,6 +479,10 @@
     StartOrder startOrderOf(const RunLocation &run, std::size_t member) const;
     PlacementRequest requestFor(const Job &job, const Occurrence &occurrence, const StepSpec &step) const;
     void emitOrders(Decision &decision, Instant now);
+    /// Adapts the pace of best-effort runs on the worker to the response times that its answer has reported.
+    void adaptSharingPace(Worker &worker, Instant now);
+    /// Adds the orders for best-effort runs on the worker that do not work at the pace meant for them.
+    void emitPaces(const Worker &worker, const std::set<RunRef> &runs, Decision &decision, Instant now) const;
     void collectRecords(Decision &decision, Instant wall);
     /// Adds a record for each block of the occurrence that differs from its latest record.
     static void collectChangedBlocks(const Job &job, Occurrence &occurrence, Decision &decision);
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -252,6 +252,9 @@
     for (auto &[id, runs] : m_runsOn) {
         const Worker *worker = m_pool.find(id);
         const bool unreachable = worker == nullptr || worker->unreachable;
+        if (!unreachable && worker->bestEffortRuns > 0) {
+            emitPaces(*worker, runs, decision, now);
+        }
         for (const RunRef &ref : runs) {
             const RunLocation run = findRun(ref);
             Member &member = *run.member;
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace heatherquay::state::batch
@@ -39,6 +40,10 @@
     Instant progressAt; ///< When the progress last changed.
     Instant reportedAt; ///< When the worker last listed the run.
     double millisecondsPerPercent{}; ///< Latest pace of the run; 0 until it is measured between two reports.
+    std::int64_t usage{}; ///< As last reported, see RunningReport.
+    std::optional<std::uint32_t> pace; ///< Share in percent at which a best-effort run may work; empty while unknown.
+    bool pacePending{}; ///< A pace order is queued or sent, and its outcome is not known yet.
+    Instant paceTriedAt; ///< When the outcome of the latest pace order became known.
     Instant startedAt;
     Instant confirmedAt; ///< When the worker first confirmed the run to this decider; zero before.
 };
--- a/src/heatherquay/state/batch/worker.hpp
+++ b/src/heatherquay/state/batch/worker.hpp
@@ -46,6 +46,9 @@
     std::uint32_t run{};
     std::string checkpoint;
     std::uint32_t percent{};
+    /// Of a task with a latency target, the tail of its response times in milliseconds; of any other task, the CPU in
+    /// use in millicores. Both over about the last half second.
+    std::int64_t usage{};
 };
 
 /// The end of a run.
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -31,6 +31,9 @@
     std::uint32_t uncheckpointedRuns{}; ///< Of these, preemptible runs without checkpoints, whose work a stop loses.
     std::uint32_t latencyBoundRuns{}; ///< Of these, runs with a tail latency bound.
     std::uint32_t bestEffortRuns{}; ///< Of these, best-effort runs, which raise the response times of others.
+    /// Share in percent at which best-effort runs may work beside runs with a latency target.
+    std::uint32_t sharingPace{};
+    Instant sharingPaceChangedAt;
     Instant answeredAt; ///< When the worker last answered.
     bool unreachable{}; ///< The latest call was not answered.
     Instant leaseUntil; ///< End of the worker's lease; by then, all runs of an unresponsive worker have ended.
--- a/tests/batch/pool_simulation.hpp
+++ b/tests/batch/pool_simulation.hpp
@@ -42,6 +42,8 @@
     double work{}; ///< Total work in milliseconds.
     bool stopping{};
     state::Instant stopsAt;
+    std::uint32_t pace{100}; ///< Percent at which a best-effort run works.
+    state::Instant overTargetSince; ///< Of a run with a latency target beside working best-effort runs; zero if below.
 };
 
 /// Drives a Scheduler without processes or network: executes its orders on simulated workers and checks on every start
@@ -75,6 +77,8 @@
     /// @return the time from the job's acceptance to its end; std::nullopt while it has not ended
     std::optional<state::Duration> endOf(const state::JobId &job) const;
     std::uint32_t startsOf(const TaskId &task) const;
+    /// @return the pace of the task's active run in percent; 0 without one
+    std::uint32_t paceOf(const TaskId &task) const;
     std::size_t running() const
     {
         return m_runs.size();
@@ -102,6 +106,9 @@
         return m_wasted;
     }
 
+    /// Response time relative to the target without best-effort runs, and what each of them adds at full pace.
+    double ownPressure{0.5};
+    double pressurePerBestEffortRun{0.8};
     bool confirmEnds{true}; ///< When false, workers keep reporting ends that are already recorded.
     /// Returns whether the answer to a start order is lost.
     std::function<bool(const state::batch::StartOrder &)> answerLost;
@@ -116,6 +123,14 @@
     void sendReports();
     void execute(const state::batch::StartOrder &order);
     void execute(const state::batch::StopOrder &order);
+    void execute(const state::batch::PaceOrder &order);
+    /// @return the response time of a run with a latency target, which best-effort runs on its worker raise; 0 of
+    /// others
+    std::int64_t responseTime(const SimulatedRun &run) const;
+    /// Checks that no run with a latency target stays over it because of best-effort runs.
+    void checkResponseTimes();
+    /// @return whether the task fits on another worker, where it neither disturbs nor is disturbed
+    bool fitsUndisturbed(const TaskId &task, const state::WorkerId &except) const;
     void endRun(std::size_t position, state::batch::EndKind kind);
     bool gangRunning(const SimulatedRun &run) const;
     double workOf(const TaskId &task);
--- a/tests/emulator/fake_worker.hpp
+++ b/tests/emulator/fake_worker.hpp
@@ -62,6 +62,9 @@
     boost::asio::awaitable<protocol::batch::OrderAnswer>
     stop(state::batch::StopOrder order, protocol::batch::FencingToken token, std::chrono::milliseconds timeout);
 
+    boost::asio::awaitable<protocol::batch::OrderAnswer>
+    pace(state::batch::PaceOrder order, protocol::batch::FencingToken token, std::chrono::milliseconds timeout);
+
     /// Drops all runs, state and connections, and comes back as a new incarnation under the same id.
     void restart();
     /// Ends one run as done at the next poll.
@@ -104,6 +107,10 @@
     bool closesConnections{}; ///< The worker closes each connection after its response to a poll.
     std::uint32_t throwingPolls{}; ///< Number of next polls that end with an exception.
     std::uint32_t throwingOrders{}; ///< Number of next orders that end with an exception after they were executed.
+    std::function<std::int64_t(const state::batch::TaskId &task)> usageOf; ///< Reported of each run; 0 when empty.
+    std::map<state::batch::TaskId, std::uint32_t> paces; ///< In percent, of the runs that were paced.
+    std::uint32_t paceOrders{}; ///< Number of pace orders so far.
+    std::uint32_t lostPaceResponses{}; ///< Number of next pace orders that are executed and not answered.
     std::vector<WorkerEvent> records; ///< All starts and stops, in order.
     std::uint64_t confirmedEnd{}; ///< Highest end number that a decider has confirmed.
     std::function<void(const RunChange &)> observer; ///< Receives all changes of runs; may be empty.
--- a/tests/platform/worker_client_test.cpp
+++ b/tests/platform/worker_client_test.cpp
@@ -74,6 +74,30 @@
     BOOST_TEST(second.report.endsComplete);
 }
 
+// Guards against a pace order that the worker cannot read, and a response time that is not reported.
+BOOST_AUTO_TEST_CASE(a_run_is_paced_and_its_usage_is_reported)
+{
+    const state::batch::TaskId task{{"5c0e7a21d94b36f8"}, 0, 0, 0};
+    emulator.runOnEmulatorThread([](test::PlatformEmulator &self) {
+        self.workers().front()->taskDuration = 1h;
+        self.workers().front()->usageOf = [](const state::batch::TaskId &) {
+            return 250;
+        };
+        return true;
+    });
+    BOOST_REQUIRE((wait(client.start({task, 1, {"i-0"}, {}, "payload"}, token, 1h, 2s)).status
+                   == protocol::batch::CallStatus::Answered));
+    BOOST_TEST((wait(client.pace({task, 1, {"i-0"}, 30}, token, 2s)).status == protocol::batch::CallStatus::Answered));
+    BOOST_TEST((wait(client.pace({task, 2, {"i-0"}, 30}, token, 2s)).status == protocol::batch::CallStatus::Refused));
+    const std::uint32_t pace = emulator.runOnEmulatorThread([&task](test::PlatformEmulator &self) {
+        return self.workers().front()->paces.at(task);
+    });
+    BOOST_TEST(pace == 30U);
+    const auto answer = poll(0);
+    BOOST_REQUIRE(answer.report.running.size() == 1U);
+    BOOST_TEST(answer.report.running.front().usage == 250);
+}
+
 // Guards against ends that a restarted worker forgets unseen: it numbers them anew at the same address.
 BOOST_AUTO_TEST_CASE(a_poll_for_a_connection_does_not_reach_the_restarted_worker)
 {
