Handle the last answer of a worker that is no longer listed

The process ends. Cause: the pace of best-effort runs was adapted for a worker that the end of its last run had just removed. Change: the worker is looked up again first. Evidence: the_last_end_of_a_worker_that_is_gone_is_handled aborted before, and passes.

--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -356,7 +356,10 @@
             handleLateDone(entry);
         }
     }
-    adaptSharingPace(*m_pool.find(id), now);
+    worker = m_pool.find(id); // It is removed with its last run if it is not registered.
+    if (worker != nullptr) {
+        adaptSharingPace(*worker, now);
+    }
     for (const auto &[key, entry] : running) {
         auto &[where, stoppedAt] = m_orphans[key];
         where = id;
--- a/tests/batch/worker_restart_test.cpp
+++ b/tests/batch/worker_restart_test.cpp
@@ -142,4 +142,14 @@
     BOOST_TEST((decision.stops.front().worker == start.worker));
 }
 
+// Guards against a crash: the last run ends on a worker that the platform no longer lists, which removes the worker.
+BOOST_AUTO_TEST_CASE(the_last_end_of_a_worker_that_is_gone_is_handled)
+{
+    scheduler.startAnswered(start.task, start.run, StartOutcome::Started, now);
+    now += 10ms;
+    scheduler.unregisterWorker(start.worker);
+    answer(start.worker, first, {}, {{1, start.task, start.run, EndKind::Done, ""}});
+    BOOST_TEST(completes());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
