Count the tasks that were just placed before places are searched with evictions

What callers saw: more tasks of a step on one worker than the job's limit allows (rule ROUTE, antiAffinity). Cause: the tasks of an urgent step that fit are placed on free resources, and places for the others are searched with evictions. That search counted the step's tasks on each worker as they were before, so that a worker could get a second one. Change: the tasks are counted again before that search. Measured (x86_64): test_batch passes.

--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -560,6 +560,7 @@
     }
     const Victims &victims = victimsFor(ready.priority, now);
     PlacementRequest request = base;
+    request.stepTasks = requestFor(job, *ready.occurrence, step).stepTasks; // Some units may just have been placed.
     request.tasks = tasks;
     request.tasksMin = tasks;
     const auto chosen = Placement(m_pool, now, &m_examined).findWithEviction(request, victims.reclaimableByWorker);
