Start nothing beside runs that the decider does not know

What callers saw: nothing reported. A worker that does not guard its capacity would be brought over it (rule LIMIT); one that does rejects the start. Cause: a run that belongs to no job of the decider, such as one of a job that was cancelled under a predecessor, is stopped, but took no capacity in the decider's books until then. Its worker was not polled either once it had no other runs, so that a lost stop was never repeated. Change: a worker that lists unknown runs gets no new ones until an answer without them, and is polled for it.

--- a/src/heatherquay/coordination/batch/decider_calls_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_calls_impl.hpp
@@ -346,8 +346,8 @@
 bool Decider<Store, Worker>::mayWaitForEnds(const Session &session) const
 {
     const state::batch::Worker *worker = m_scheduler.workers().find(session.id);
-    return session.hasAnswered() && worker != nullptr && worker->runs > 0 && worker->fenced && !worker->unreachable
-        && hasRecentClock(session);
+    return session.hasAnswered() && worker != nullptr && (worker->runs > 0 || worker->strayRuns > 0) && worker->fenced
+        && !worker->unreachable && hasRecentClock(session);
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -278,7 +278,7 @@
 bool Scheduler::needsPoll(const WorkerId &id) const
 {
     const Worker *worker = m_pool.find(id);
-    return worker != nullptr && (worker->runs > 0 || !worker->fenced || worker->unreachable);
+    return worker != nullptr && (worker->runs > 0 || worker->strayRuns > 0 || !worker->fenced || worker->unreachable);
 }
 
 void Scheduler::workerAnswered(const WorkerId &id, const WorkerReport &report, Instant now)
@@ -358,6 +358,7 @@
     }
     worker = m_pool.find(id); // It is removed with its last run if it is not registered.
     if (worker != nullptr) {
+        worker->strayRuns = running.size();
         adaptSharingPace(*worker, now);
     }
     for (const auto &[key, entry] : running) {
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -236,8 +236,8 @@
     /// Reports that the worker is fenced: it refuses orders of all earlier deciders.
     /// @param until when the leases granted by earlier deciders have ended
     void predecessorsFenced(const WorkerId &id, Instant until);
-    /// @return whether the worker must be polled: runs may exist there, it has not answered this decider yet, or it did
-    /// not answer the latest call
+    /// @return whether the worker must be polled: runs exist or may exist there, it has not answered this decider yet,
+    /// or it did not answer the latest call
     bool needsPoll(const WorkerId &id) const;
 
     /// Must be called right before a start order is sent.
--- a/src/heatherquay/state/batch/worker_pool.cpp
+++ b/src/heatherquay/state/batch/worker_pool.cpp
@@ -30,6 +30,7 @@
         worker.slowness = 1;
         worker.slownessMeasured = false;
         worker.sharingPace = 0;
+        worker.strayRuns = 0;
     }
     worker.spec = spec;
     worker.spec.incarnation = std::max(before, spec.incarnation);
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -30,6 +30,7 @@
     std::uint32_t runs{}; ///< Runs that may exist there, and reservations.
     std::uint32_t uncheckpointedRuns{}; ///< Of these, preemptible runs without checkpoints, whose work a stop loses.
     std::uint32_t latencyBoundRuns{}; ///< Of these, runs with a tail latency bound.
+    std::size_t strayRuns{}; ///< Runs in its latest answer that belong to no job here. They take an unknown capacity.
     std::uint32_t bestEffortRuns{}; ///< Of these, best-effort runs, which raise the response times of others.
     /// Share in percent at which best-effort runs may work beside runs with a latency target.
     std::uint32_t sharingPace{};
@@ -87,7 +88,8 @@
     /// @return whether the worker can take runs; it may be in quarantine
     static bool isUsable(const Worker &worker)
     {
-        return worker.registered && worker.fenced && !worker.spec.draining && !worker.unreachable;
+        return worker.registered && worker.fenced && !worker.spec.draining && !worker.unreachable
+            && worker.strayRuns == 0;
     }
     const std::map<WorkerId, Worker> &all() const
     {
