End leases 8.4 s after the term was confirmed, so that a successor waits 8.8 s

Cause: a successor cannot know until when its predecessor has extended the leases of a silent worker, and waits for the longest possible: 4 s of authority, then a lease of 5 s on a clock that is 2 % slow, and a margin. Change: a lease ends at most 8.4 s after the latest confirmation of the term. It lasts 5 s as before until 3.4 s after the confirmation, and 4.4 s at the end of the authority.

--- a/src/heatherquay/coordination/batch/decider.hpp
+++ b/src/heatherquay/coordination/batch/decider.hpp
@@ -46,6 +46,9 @@
     std::chrono::milliseconds leaseMax{10'000};
     /// Leases are not extended when the store last confirmed the term longer ago than this.
     std::chrono::milliseconds authorityTimeout{4'000};
+    /// Longest time from the latest confirmation of the term to the end of a lease, on the worker's clock. A successor
+    /// waits for it; with the time to start a task it stays within the 9 s in which a lasting task must run again.
+    std::chrono::milliseconds leaseSpanMax{8'400};
     /// Longest wait for an event before the next pass; also the retry delay after a failed pass.
     std::chrono::milliseconds passIntervalMax{100};
     /// Interval between writes of the learned worker speeds; a failover loses at most this much.
@@ -219,6 +222,8 @@
     protocol::batch::WorkerTime leaseEnd(const Session &session) const;
     /// @return the latest time, on this process's clock, at which a lease granted now expires and its runs have ended
     state::Instant latestLeaseExpiry(std::chrono::milliseconds lease) const;
+    /// @return the same for the leases of a predecessor whose authority ends with a term that begins now
+    state::Instant latestPredecessorLeaseExpiry() const;
     state::Instant now() const;
     static state::Instant wallClockNow();
 
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -169,7 +169,10 @@
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 protocol::batch::WorkerTime Decider<Store, Worker>::leaseEnd(const Session &session) const
 {
-    return session.clock.earliest(Clock::now()) + m_times.lease;
+    const auto sinceConfirmation
+        = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_ports.confirmedAt());
+    const auto lease = std::min(m_times.lease, m_times.leaseSpanMax - sinceConfirmation);
+    return session.clock.earliest(Clock::now()) + std::max(lease, std::chrono::milliseconds::zero());
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
@@ -179,6 +182,13 @@
     return now() + state::Duration(stretched) + m_times.leaseExpiryMargin;
 }
 
+template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
+state::Instant Decider<Store, Worker>::latestPredecessorLeaseExpiry() const
+{
+    const auto span = std::min(m_times.leaseSpanMax, m_times.authorityTimeout + m_times.lease);
+    return latestLeaseExpiry(m_times.lease) + std::max(span - m_times.lease, std::chrono::milliseconds::zero());
+}
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 void Decider<Store, Worker>::setQueues(std::map<std::string, state::batch::QueuePolicy> queues)
 {
@@ -269,7 +279,7 @@
                     {"incarnation", std::to_string(spec->incarnation.value)},
                     {"draining", spec->draining ? "true" : "false"},
                     {"row_version", std::to_string(row.version)}});
-    m_scheduler.registerWorker(*spec, now(), latestLeaseExpiry(m_times.authorityTimeout + m_times.lease));
+    m_scheduler.registerWorker(*spec, now(), latestPredecessorLeaseExpiry());
     openSession(*spec);
     wake();
 }
@@ -347,8 +357,7 @@
     m_jobsBeforeRecovery.clear();
     // The previous decider may have extended leases until its own authority ended, at most authorityTimeout after the
     // start of this term.
-    const state::Instant leaseUntil
-        = m_termStartedAt + (latestLeaseExpiry(m_times.authorityTimeout + m_times.lease) - now());
+    const state::Instant leaseUntil = m_termStartedAt + (latestPredecessorLeaseExpiry() - now());
     const auto records = progress.records();
     for (const auto &schedule : progress.schedules()) {
         m_scheduler.restore(schedule);
--- a/tests/batch/decider_fixture.hpp
+++ b/tests/batch/decider_fixture.hpp
@@ -26,6 +26,8 @@
 /// Id of a worker row that makes its decoder throw.
 constexpr const char *oddWorker = "odd";
 
+/// Time for which the deciders extend leases without a confirmation of their term.
+constexpr std::chrono::milliseconds testAuthorityTimeout{200};
 /// Longest lease that the deciders assume of a worker.
 constexpr std::chrono::milliseconds longestLease{1'000};
 constexpr std::chrono::milliseconds acceptanceTimeMax{1'000};
@@ -39,7 +41,8 @@
                    std::map<std::string, std::shared_ptr<FakeWorker>> &workers, std::uint64_t token,
                    double clockRateMin = DeciderTimes().clockRateMin,
                    std::chrono::milliseconds retention = DeciderTimes().endedJobRetention,
-                   std::chrono::milliseconds lease = 300ms)
+                   std::chrono::milliseconds lease = 300ms,
+                   std::chrono::milliseconds leaseSpanMax = DeciderTimes().leaseSpanMax)
         : store(rowStore)
         , mirror(store, boardTable, {intakePart, deciderPart}, [this](const protocol::batch::StoredRow &row) {
             if (row.key.key == termKey) {
@@ -88,7 +91,8 @@
         ports.metrics = &metrics;
         DeciderTimes times;
         times.lease = lease;
-        times.authorityTimeout = 200ms;
+        times.leaseSpanMax = leaseSpanMax;
+        times.authorityTimeout = testAuthorityTimeout;
         times.passIntervalMax = 10ms;
         times.passIntervalMin = 1ms;
         times.pollWait = 50ms;
