--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -540,6 +540,10 @@
 void Scheduler::giveUpRun(const RunRef &ref, ReleaseReason reason)
 {
     const RunLocation run = findRun(ref);
+    if (stepOf(*run.job, *run.unit).perpetual) {
+        // The time for which its worker was silent counts as waiting for a preferred place.
+        run.unit->lostSince = std::max(run.member->reportedAt, run.member->startedAt);
+    }
     m_releases.push_back(
         {taskOf(*run.job, *run.occurrence, *run.unit, ref.member), run.unit->run, run.member->worker, reason});
     releaseMember(*run.job, *run.occurrence, *run.unit, ref.member);
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -1,6 +1,7 @@
 #include "heatherquay/state/batch/scheduler.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace heatherquay::state::batch
 {
@@ -136,7 +137,7 @@
     unit.members.clear();
     unit.stopping = false;
     unit.waitingSince = now;
-    unit.readySince = {};
+    unit.readySince = std::exchange(unit.lostSince, {});
     occurrence.changed = true;
     failIfAttemptsExhausted(job, unit);
 }
--- a/src/heatherquay/state/batch/unit.hpp
+++ b/src/heatherquay/state/batch/unit.hpp
@@ -82,6 +82,7 @@
     std::string reservedRack; ///< Rack reserved for this gang until it fits there.
     Instant waitingSince;
     Instant readySince; ///< When a pass first found that its turn has come; zero before.
+    Instant lostSince; ///< Last sign of life of a lasting run that was given up; becomes readySince.
     Duration placementPause{}; ///< Latest pause after the unit found no place; zero once it is placed.
     Instant placeAgainAt; ///< The unit found no place; it is not tried again before this time.
     Instant startedAt;
--- a/tests/batch/pool_simulation.cpp
+++ b/tests/batch/pool_simulation.cpp
@@ -18,6 +18,7 @@
 constexpr Duration reportInterval{500};
 constexpr Duration stopDuration{200};
 constexpr Duration lease{5'000};
+constexpr Duration predecessorLease{8'810}; // What a decider assumes of its predecessor's leases.
 constexpr Duration checkpointInterval{1'000};
 constexpr double workMillisecondsPerStep = 10;
 constexpr double failureProgress = 0.1;
@@ -81,6 +82,55 @@
     m_scheduler->cancel(job);
 }
 
+void PoolSimulation::drain(const WorkerId &worker)
+{
+    m_workers.at(worker).spec.draining = true;
+    m_scheduler->registerWorker(m_workers.at(worker).spec, m_now, m_now);
+}
+
+void PoolSimulation::dropRuns(const WorkerId &worker)
+{
+    std::erase_if(m_runs, [&worker](const SimulatedRun &run) {
+        return run.worker == worker;
+    });
+    m_workers.at(worker).ended.clear();
+}
+
+void PoolSimulation::remove(const WorkerId &worker)
+{
+    dropRuns(worker);
+    m_workers.at(worker).gone = true;
+    m_workers.at(worker).unreachable = true;
+    m_scheduler->unregisterWorker(worker);
+}
+
+void PoolSimulation::restart(const WorkerId &worker)
+{
+    dropRuns(worker);
+    SimulatedWorker &restarted = m_workers.at(worker);
+    restarted.lastEnd = 0;
+    restarted.unreachable = false;
+    ++restarted.spec.incarnation.value;
+    m_scheduler->registerWorker(restarted.spec, m_now, m_now);
+}
+
+bool PoolSimulation::runs(const TaskId &task) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [&task](const SimulatedRun &run) {
+        return run.task == task;
+    });
+}
+
+bool PoolSimulation::done(const JobId &job, std::uint32_t step) const
+{
+    for (std::uint32_t index = 0; index < m_jobs.at(job).steps.at(step).taskCount; ++index) {
+        if (!m_done.contains({job, 0, step, index})) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void PoolSimulation::failRun(const TaskId &task)
 {
     for (std::size_t i = m_runs.size(); i-- > 0;) {
@@ -234,7 +284,8 @@
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
         const SimulatedWorker &worker = entry.second;
         Resources used = allocationOf(step);
-        bool disturbed = entry.first == except || worker.unreachable;
+        const bool failed = worker.failedAt != Instant{} && m_now - worker.failedAt < m_settings.workers.quarantineMax;
+        bool disturbed = entry.first == except || worker.unreachable || worker.spec.draining || failed;
         for (const SimulatedRun &run : m_runs) {
             if (run.worker == entry.first) {
                 used += allocationOf(stepOf(run.task));
@@ -325,6 +376,9 @@
     report.run = run.run;
     report.kind = kind;
     const StepSpec &step = stepOf(run.task);
+    if (kind == EndKind::Failed) {
+        worker.failedAt = m_now;
+    }
     if (kind != EndKind::Done) {
         const double saved = step.savesProgress ? run.done : 0;
         report.checkpoint = step.savesProgress ? std::to_string(run.done) : std::string();
@@ -355,8 +409,13 @@
         for (const EndReport &end : worker.ended) {
             // A task counts as done only when its end is reported: the lease may expire before that.
             // A perpetual task is restarted whenever it ends.
-            if (end.kind == EndKind::Done && !stepOf(end.task).perpetual) {
+            const StepSpec &step = stepOf(end.task);
+            if (end.kind == EndKind::Done && !step.perpetual) {
                 m_done.insert(end.task);
+                // The members of a gang end together, so that one end stands for all.
+                for (std::uint32_t index = 0; step.gang && index < step.taskCount; ++index) {
+                    m_done.insert({end.task.job, end.task.occurrence, end.task.step, index});
+                }
             }
         }
         for (const SimulatedRun &run : m_runs) {
@@ -483,7 +542,7 @@
 {
     m_scheduler = std::make_unique<Scheduler>(m_settings);
     m_scheduler->setQueues(m_queues);
-    const Instant leaseUntil = m_now + detail::lease + detail::lease;
+    const Instant leaseUntil = m_now + detail::predecessorLease;
     for (const auto &[id, job] : m_jobs) {
         if (!isFinal(stateOf(id))) {
             m_scheduler->submit(job, m_now);
--- a/tests/batch/pool_simulation.hpp
+++ b/tests/batch/pool_simulation.hpp
@@ -27,6 +27,8 @@
     bool unreachable{}; ///< Does not answer; its runs continue until the lease expires.
     bool failsRuns{}; ///< Every run fails after a tenth of its work is done.
     bool hangs{}; ///< Runs make no progress.
+    bool gone{}; ///< Has left for good.
+    state::Instant failedAt; ///< When a run last failed there; zero before.
     state::Instant leaseUntil;
     std::uint64_t lastEnd{};
     std::vector<state::batch::EndReport> ended; ///< Ends that are not confirmed yet.
@@ -62,6 +64,12 @@
     /// @param work true run time of a task at speed 1; the declared estimate by default
     void submit(state::batch::JobSpec job, std::optional<state::Duration> work = std::nullopt);
     void cancel(const state::JobId &job);
+    /// Announces that the worker will leave, so that it gets no new runs.
+    void drain(const state::WorkerId &worker);
+    /// Ends the worker and its runs. The platform no longer lists it.
+    void remove(const state::WorkerId &worker);
+    /// Ends the worker's runs and starts it again as a new incarnation under its id.
+    void restart(const state::WorkerId &worker);
     /// Ends the active runs of the task as failed.
     void failRun(const TaskId &task);
     /// Records a cancellation without telling the scheduler, as if it crashed before learning of it.
@@ -88,6 +96,19 @@
     {
         return m_records.size();
     }
+    const std::vector<SimulatedRun> &runs() const
+    {
+        return m_runs;
+    }
+    /// @return whether the task has an active run
+    bool runs(const TaskId &task) const;
+    /// @return whether all tasks of a step of the job's only occurrence are done
+    bool done(const state::JobId &job, std::uint32_t step) const;
+    const state::batch::StepSpec &stepOf(const TaskId &task) const;
+    const std::map<state::WorkerId, SimulatedWorker> &workers() const
+    {
+        return m_workers;
+    }
     state::batch::Scheduler &scheduler()
     {
         return *m_scheduler;
@@ -134,7 +155,7 @@
     void endRun(std::size_t position, state::batch::EndKind kind);
     bool gangRunning(const SimulatedRun &run) const;
     double workOf(const TaskId &task);
-    const state::batch::StepSpec &stepOf(const TaskId &task) const;
+    void dropRuns(const state::WorkerId &worker);
 
     state::batch::SchedulerSettings m_settings;
     std::unique_ptr<state::batch::Scheduler> m_scheduler;
--- a/tests/batch/stand_still_test.cpp
+++ b/tests/batch/stand_still_test.cpp
@@ -2,6 +2,7 @@
 
 #include "batch/pool_simulation.hpp"
 
+#include <algorithm>
 #include <string>
 #include <tuple>
 
@@ -247,4 +248,32 @@
     BOOST_TEST(pool.running() == 6U);
 }
 
+// Guards against waits that add up: a lasting task that lost its worker and its decider at the same time waited for the
+// predecessor's leases, and then for its data's rack.
+BOOST_AUTO_TEST_CASE(a_lasting_task_does_not_wait_for_its_rack_after_it_waited_for_a_lease)
+{
+    PoolSimulation pool;
+    pool.addWorkers(8, 4, machine);
+    auto filling = makeJob("fill", 3, machine, 500ms);
+    filling.steps.front().perpetual = true;
+    filling.steps.front().requiredLabel = "r0";
+    pool.submit(filling, 600'000ms);
+    pool.advance(1s);
+    auto watched = makeJob("a", 1, {8'000, 32'000, 1}, 500ms);
+    watched.steps.front().perpetual = true;
+    watched.steps.front().dataRack = "r0";
+    pool.submit(watched, 600'000ms);
+    pool.advance(2s);
+    BOOST_REQUIRE(pool.running() == 4U);
+    const test::TaskId task{{"a"}, 0, 0, 0};
+    const auto run = std::find_if(pool.runs().begin(), pool.runs().end(), [&task](const test::SimulatedRun &other) {
+        return other.task == task;
+    });
+    const state::WorkerId lost = run->worker;
+    pool.remove(lost);
+    pool.replaceScheduler();
+    pool.advance(9s);
+    BOOST_TEST(pool.runs(task));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
