--- a/tests/crowds/product_crowds_test.cpp
+++ b/tests/crowds/product_crowds_test.cpp
@@ -1,107 +1,9 @@
-#include "crowds/crowd_samples.hpp"
-#include "standins/endpoints.hpp"
-#include "standins/objects.hpp"
-#include "standins/table.hpp"
-#include "standins/vms.hpp"
-#include "system/caller.hpp"
-#include "system/entry_process.hpp"
+#include "crowds/small_entry.hpp"
 
-#include <iostream>
-#include <memory>
-#include <thread>
-
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/test/data/test_case.hpp>
-#include <boost/test/unit_test.hpp>
-
-#include <unistd.h>
 
 using namespace heatherquay;
 using namespace heatherquay::crowds;
-using namespace std::chrono_literals;
-
-namespace
-{
-
-// All bodies inside the limits together hold 32 MiB, or twice that while a string grows; an entry itself less than 20
-// MB.
-constexpr std::size_t connectionsMax = 128;
-constexpr std::size_t memoryMax = 120'000'000;
-constexpr std::size_t descriptorsMax = 500;
-// SHA-256 of "caller-token" and "operator-token".
-constexpr const char *callerTokenHash = "42759dabeaa13003b4a08844d414105fbbe66726b223dccb182613678f2c0d1a";
-constexpr const char *operatorTokenHash = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
-const Target target{"POST /services/hire-desk/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer caller-token\r\n",
-                    "GET /readyz HTTP/1.1\r\nHost: h\r\n"};
-
-/// One entry with lowered limits, and stand-ins of what it needs in this process.
-struct SmallEntry
-{
-    SmallEntry()
-        : ports(system_test::freePorts(3))
-        , directory(std::filesystem::temp_directory_path() / ("heatherquay-crowds-entry-" + std::to_string(::getpid())))
-    {
-        std::filesystem::create_directories(directory);
-        for (const std::string &address : endpoints.addresses()) {
-            vms.put({address, address, "endpoint", endpoints.service(), "live"});
-        }
-        thread = std::jthread([this] {
-            io.run();
-        });
-        process = std::make_unique<system_test::EntryProcess>("e0", settings(), directory);
-    }
-    ~SmallEntry()
-    {
-        process.reset();
-        io.stop();
-        thread.join();
-        std::error_code ignored;
-        std::filesystem::remove_all(directory, ignored);
-    }
-
-    std::string settings() const
-    {
-        const auto address = [this](std::size_t port) {
-            return "\"127.0.0.1:" + std::to_string(ports[port]) + "\"\n";
-        };
-        const std::string connections = std::to_string(connectionsMax);
-        return "[entry]\nid = \"e0\"\nregion = \"viti\"\nfailure_domain = \"suva\"\npeer_secret = "
-               "\"s\"\n[listen]\ncallers = "
-            + address(0) + "operators = " + address(1) + "peers = " + address(2) + "[limits]\nbody = \"256KiB\"\n"
-            + "connections = " + connections + "\nconnections_per_caller = " + connections + "\n[table]\naddress = \""
-            + table.address() + "\"\n[object_store]\naddress = \"" + objects.address() + "\"\n[vm_list]\naddress = \""
-            + vms.address() + "\"\nevery = \"200ms\"\n[[team]]\nid = \"guitars\"\ntoken_sha256 = [\"" + callerTokenHash
-            + "\"]\n[[operator]]\nname = \"o\"\ntoken_sha256 = [\"" + operatorTokenHash
-            + "\"]\n[[service]]\nid = \"hire-desk\"\nrequest_timeout = \"4s\"\n";
-    }
-
-    /// Repeats an ordinary request until it is served.
-    bool answers() const
-    {
-        const auto deadline = std::chrono::steady_clock::now() + 20s;
-        while (system_test::sendOnce(ports[0], "GET", "/readyz", "", "", "", 1s).status != 200) {
-            if (std::chrono::steady_clock::now() > deadline) {
-                return false;
-            }
-            std::this_thread::sleep_for(50ms);
-        }
-        return true;
-    }
-
-    boost::asio::io_context io;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard{io.get_executor()};
-    standins::StandinTable table{io.get_executor()};
-    standins::StandinObjects objects{io.get_executor()};
-    standins::StandinVms vms{io.get_executor()};
-    standins::StandinEndpoints endpoints{io.get_executor(), {.count = 2, .enforceLimits = false, .serviceTime = 10ms}};
-    std::vector<std::uint16_t> ports;
-    std::filesystem::path directory;
-    std::jthread thread;
-    std::unique_ptr<system_test::EntryProcess> process;
-};
-
-} // namespace
 
 BOOST_AUTO_TEST_SUITE(product_crowds)
 
@@ -113,14 +15,14 @@
     {
         Crowd crowd("127.0.0.1", entry.ports[0]);
         for (const auto &[script, clients] : sample.clients) {
-            crowd.add(script(target), clients);
+            crowd.add(script(productTarget), clients);
         }
         crowd.run(entry.process->pid());
         const std::size_t memory = peakMemory(entry.process->pid());
         std::cout << "peak memory " << memory / 1'000'000 << " MB, descriptors " << crowd.descriptorsMax() << '\n';
         BOOST_TEST(!entry.process->poll().has_value(), "the process has ended");
         BOOST_TEST(memory > 0U);
-        BOOST_TEST(memory <= memoryMax);
+        BOOST_TEST(memory <= entryMemoryMax);
         BOOST_TEST(crowd.descriptorsMax() <= descriptorsMax);
     }
     BOOST_TEST(entry.answers());
