Let bodies grow as they arrive instead of reserving their declared length

Callers saw: a process beside a crowd of large requests used most of the memory of its machine. Cause: Beast's string_body reserves the declared length as soon as the header is there, while the account is charged only what has arrived. The allocator serves such a block from pages that earlier bodies have filled, so that it is resident although it is empty. Change: a body type that doubles its capacity up to the declared length; the account is charged the capacity.

--- a/src/heatherquay/transport/http_client.cpp
+++ b/src/heatherquay/transport/http_client.cpp
@@ -69,7 +69,7 @@
     return message;
 }
 
-HttpResponse toResponse(http::response<http::string_body> &&message, bool headOnly)
+HttpResponse toResponse(http::response<GrowingBody> &&message, bool headOnly)
 {
     HttpResponse response;
     response.status = message.result_int();
@@ -86,7 +86,7 @@
     return response;
 }
 
-bool isDelimitedByClose(const http::response_parser<http::string_body> &parser)
+bool isDelimitedByClose(const http::response_parser<GrowingBody> &parser)
 {
     const auto status = parser.get().result();
     const bool bodiless = status == http::status::no_content || status == http::status::not_modified;
--- a/src/heatherquay/transport/message_reader.cpp
+++ b/src/heatherquay/transport/message_reader.cpp
@@ -114,9 +114,14 @@
 template<bool isRequest>
 std::size_t MessageReader<isRequest>::bytesHeldWith(std::size_t piece)
 {
-    const std::size_t body = m_parser.get().body().size() + piece;
-    // A body without a declared length grows by doubling.
-    const std::size_t bodyHeld = m_parser.is_header_done() && m_parser.chunked() ? 2 * body : body;
+    const std::string &received = m_parser.get().body();
+    const std::size_t body = received.size() + piece;
+    // A body grows by doubling, up to a declared length.
+    const std::size_t doubled = 2 * body;
+    const bool declaresLength = m_parser.is_header_done() && m_parser.content_length();
+    const std::size_t declared = declaresLength ? static_cast<std::size_t>(*m_parser.content_length()) : doubled;
+    const bool grows = body > received.capacity();
+    const std::size_t bodyHeld = grows ? std::max(body, std::min(doubled, declared)) : received.capacity();
     const std::size_t buffer = m_buffer.size() + piece;
     const std::size_t held = bodyHeld + buffer;
     // What fits into a new connection's input buffer is charged with the connection.
--- a/src/heatherquay/transport/message_reader.hpp
+++ b/src/heatherquay/transport/message_reader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherquay/transport/growing_body.hpp"
 #include "heatherquay/transport/memory_budget.hpp"
 
 #include <cstddef>
@@ -9,7 +10,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace heatherquay::transport
 {
@@ -22,7 +22,7 @@
 /// @return the most that an account is charged for a message with a body of @p bodyBytes
 constexpr std::size_t largestMessageBytes(std::uint32_t headerBytes, std::uint64_t bodyBytes)
 {
-    // A body without a declared length grows by doubling; the input buffer is filled and charged in steps.
+    // A body grows by doubling; the input buffer is filled and charged in steps.
     return 2 * static_cast<std::size_t>(bodyBytes) + 4 * (static_cast<std::size_t>(headerBytes) + 2 * connectionBytes);
 }
 
@@ -32,7 +32,7 @@
 class MessageReader
 {
 public:
-    using Parser = boost::beast::http::parser<isRequest, boost::beast::http::string_body>;
+    using Parser = boost::beast::http::parser<isRequest, GrowingBody>;
 
     /// @param buffer holds input that was read already; its largest size bounds chunk headers and trailers
     /// @param account may be null
--- a/src/heatherquay/transport/server_messages.cpp
+++ b/src/heatherquay/transport/server_messages.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-HttpRequest toRequest(http::request<http::string_body> &&message, const std::string &remote)
+HttpRequest toRequest(http::request<GrowingBody> &&message, const std::string &remote)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
--- a/src/heatherquay/transport/server_messages.hpp
+++ b/src/heatherquay/transport/server_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherquay/transport/growing_body.hpp"
 #include "heatherquay/transport/http_message.hpp"
 
 #include <string>
@@ -12,8 +13,7 @@
 
 /// Converts a received message. The framing fields are dropped.
 /// @param remote IP address of the client
-HttpRequest toRequest(boost::beast::http::request<boost::beast::http::string_body> &&message,
-                      const std::string &remote);
+HttpRequest toRequest(boost::beast::http::request<GrowingBody> &&message, const std::string &remote);
 
 /// Converts a response to the message that is sent, with framing fields of its own.
 /// @param version HTTP version, 10 or 11
