Return memory after a crowd from a fixed size on

Operators saw: an entry kept 52 MB after a crowd had left. Cause: memory was returned to the system only after a quarter of the budget had been held. The product's default budget is a quarter of the machine's memory, so that a crowd of a hundred megabytes counted as nothing. Change: at most 8 MiB held make the budget return memory when less than 4 MiB are held; responses count too.

--- a/src/heatherquay/transport/memory_budget.cpp
+++ b/src/heatherquay/transport/memory_budget.cpp
@@ -18,9 +18,12 @@
 constexpr std::size_t requestsDenominator = 4;
 // One address leaves half of the requests' part to the others.
 constexpr std::size_t addressDivisor = 2;
-// Memory is returned to the system when a crowd has left: after more than a quarter was held, below an eighth.
+// Memory is returned to the system when a crowd has left: after more than a quarter was held, below an eighth. Large
+// budgets return it from fixed sizes.
 constexpr std::size_t crowdDivisor = 4;
 constexpr std::size_t idleDivisor = 8;
+constexpr std::size_t crowdBytesMax = 8 * 1024 * 1024;
+constexpr std::size_t idleBytesMax = 4 * 1024 * 1024;
 constexpr const char *controlGroupLimit = "/sys/fs/cgroup/memory.max";
 
 } // namespace
@@ -62,7 +65,7 @@
 void MemoryBudget::Account::setResponse(std::size_t bytes)
 {
     if (bytes > m_response) {
-        m_budget->m_held.fetch_add(bytes - m_response, std::memory_order_relaxed);
+        m_budget->chargeBeyond(bytes - m_response);
     } else if (bytes < m_response) {
         m_budget->refund(m_response - bytes);
     }
@@ -89,17 +92,27 @@
             return false;
         }
     } while (!m_held.compare_exchange_weak(held, held + bytes, std::memory_order_relaxed));
-    if (held + bytes > m_limit / crowdDivisor) {
+    noteHeld(held + bytes);
+    return true;
+}
+
+void MemoryBudget::chargeBeyond(std::size_t bytes)
+{
+    noteHeld(m_held.fetch_add(bytes, std::memory_order_relaxed) + bytes);
+}
+
+void MemoryBudget::noteHeld(std::size_t held)
+{
+    if (held > std::min(m_limit / crowdDivisor, crowdBytesMax)) {
         m_trimWhenIdle.store(true, std::memory_order_relaxed);
     }
-    return true;
 }
 
 void MemoryBudget::refund(std::size_t bytes)
 {
     const std::size_t left = m_held.fetch_sub(bytes, std::memory_order_relaxed) - bytes;
     // The allocator keeps what was freed, which after a crowd is most of the process.
-    if (left < m_limit / idleDivisor && m_trimWhenIdle.load(std::memory_order_relaxed)
+    if (left < std::min(m_limit / idleDivisor, idleBytesMax) && m_trimWhenIdle.load(std::memory_order_relaxed)
         && m_trimWhenIdle.exchange(false)) {
         ::malloc_trim(0);
     }
--- a/src/heatherquay/transport/memory_budget.hpp
+++ b/src/heatherquay/transport/memory_budget.hpp
@@ -67,6 +67,10 @@
 
 private:
     bool charge(std::size_t bytes, std::size_t limit);
+    /// Charges bytes that may exceed the limit.
+    void chargeBeyond(std::size_t bytes);
+    /// Notes that memory is to be returned later, if @p held is much.
+    void noteHeld(std::size_t held);
     void refund(std::size_t bytes);
     bool chargeRequest(const std::string &address, std::size_t bytes);
     void refundRequest(const std::string &address, std::size_t bytes);
