Let silent and slow connections make room for new ones

Cause: at the limit of connections the server refused whoever came next, and each of the crowd's connections could stay until its timeout. Besides, one connection was accepted in a turn of the event loop, so that while many requests kept the loop busy a new connection waited for as many turns as there were before it in the queue. Change: ConnectionTable picks the connection that makes room: silent ones first, then closing ones, slow requests, idle ones, responses that are not read, and requests that have begun; among equals one of the address with the most connections. A connection whose handler runs never does. A request that had begun gets 503 with Retry-After; it has not run. Up to 32 connections are accepted in a turn, and the connections beyond the limit that wait to be closed are bounded.

--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "heatherquay/transport/http_server.hpp"
 
 #include "heatherquay/error.hpp"
+#include "heatherquay/transport/connection_table.hpp"
 #include "heatherquay/transport/log.hpp"
 #include "heatherquay/transport/message_reader.hpp"
 #include "heatherquay/transport/server_exchange.hpp"
@@ -8,10 +9,8 @@
 
 #include <array>
 #include <atomic>
-#include <map>
-#include <mutex>
+#include <limits>
 #include <optional>
-#include <unordered_map>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -38,9 +37,11 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
+constexpr std::chrono::milliseconds closeWaitInterval{5};
+constexpr std::uint32_t acceptedPerTurnMax = 32;
 constexpr std::chrono::milliseconds lingerTimeout{500};
-// Connections above this number that wait for their peer to read a refusal are closed at once.
-constexpr std::uint32_t refusedConnectionsMax = 64;
+// A refusal fits into the socket's send buffer, unless the client has not read earlier responses.
+constexpr std::chrono::milliseconds refusalSendTimeout{1'000};
 // A client reads "Retry-After" in whole seconds; a crowd that stops short leaves within the receive timeout.
 constexpr const char *refusalRetryAfter = "1";
 constexpr std::chrono::milliseconds firstRequestTimeout{
@@ -49,14 +50,6 @@
 constexpr unsigned serviceUnavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 
-enum class ConnectionState
-{
-    Idle, ///< Waits for a request.
-    Receiving,
-    Handling, ///< The handler runs, or the response is being sent.
-    Closing
-};
-
 /// How a connection goes on after a request.
 enum class Next
 {
@@ -67,19 +60,18 @@
 
 } // namespace detail
 
-using detail::ConnectionState;
 using detail::Next;
 
 struct HttpServer::Shared : std::enable_shared_from_this<HttpServer::Shared>
 {
-    struct Connection
+    struct Connection : TrackedConnection
     {
         /// @param bufferBytes largest size of the input buffer
-        Connection(tcp::socket socket, std::string address, std::size_t bufferBytes)
-            : stream(std::move(socket))
+        Connection(tcp::socket socket, std::string peerAddress, std::size_t bufferBytes)
+            : TrackedConnection(std::move(peerAddress))
+            , stream(std::move(socket))
             , descriptor(stream.socket().native_handle())
             , buffer(bufferBytes)
-            , remote(std::move(address))
         {
         }
 
@@ -103,24 +95,39 @@
         beast::tcp_stream stream;
         const int descriptor;
         beast::flat_buffer buffer;
-        std::string remote;
         std::unique_ptr<MemoryBudget::Account> account; ///< Null without a budget.
-        std::atomic<ConnectionState> state{ConnectionState::Idle};
-        bool servedRequest{};
+        bool evicted{}; ///< Has made room for another connection.
+        bool overLimit{}; ///< Counted in refusedConnections, because it is not in the table.
+        bool ended{};
         std::shared_ptr<detail::PendingResponse> pending; ///< While the handler of a request runs.
     };
 
+    /// How a response is sent.
+    struct ResponseForm
+    {
+        unsigned version{11}; ///< Of HTTP, 11 for HTTP/1.1.
+        bool keepAlive{};
+        bool headOnly{};
+        std::chrono::milliseconds timeout;
+    };
+
     Shared(asio::any_io_executor ex, HttpHandler h, HttpErrorResponder r, HttpServerLimits l)
         : executor(std::move(ex))
         , handler(std::move(h))
         , errorResponder(std::move(r))
         , limits(l)
         , acceptor(asio::make_strand(executor))
+        , connections(l.connections, l.connectionsPerAddress)
     {
     }
 
     asio::awaitable<void> acceptLoop();
-    void acceptEstablished();
+    /// Connections in the table, and those that are refused or about to close.
+    std::uint32_t openSocketsMax() const
+    {
+        return limits.connections + 2 * limits.refusedConnections;
+    }
+    void acceptEstablished(std::uint32_t countMax);
     void startConnection(tcp::socket socket);
     asio::awaitable<void> serveConnection(std::shared_ptr<Connection> connection);
     asio::awaitable<Next> serveRequest(Connection &connection);
@@ -135,11 +142,20 @@
                                  const std::string &text);
     /// Refuses a request that was not received, or closes the connection when the client has left.
     asio::awaitable<Next> refuseUnreceived(Connection &connection, const beast::error_code &error, bool expired);
-    asio::awaitable<Next> sendResponse(Connection &connection, HttpResponse response, unsigned version, bool keepAlive,
-                                       bool headOnly);
+    /// Answers a request of an evicted connection, of which nothing has run.
+    asio::awaitable<Next> refuseEvicted(Connection &connection);
+    asio::awaitable<Next> sendRefusal(Connection &connection, HttpResponse response);
+    asio::awaitable<Next> sendResponse(Connection &connection, HttpResponse response, ResponseForm form);
     /// @return why the connection is refused, if it is
     std::optional<RefusalReason> admit(const std::shared_ptr<Connection> &connection);
-    void release(const std::shared_ptr<Connection> &connection);
+    /// Charges a connection to the budget, if need be in place of another one.
+    bool chargeConnection(Connection &connection, bool replacesAnother);
+    /// Ends a connection that was removed from the table. A request that has begun to arrive is refused. A connection
+    /// whose request has arrived completely returns to the table.
+    void closeEvicted(const std::shared_ptr<TrackedConnection> &evicted);
+    /// Counts a connection that is not in the table.
+    /// @return whether there are too many of them, so that it must be closed at once
+    bool noteOverLimit(Connection &connection);
     void forEach(const std::function<void(Connection &)> &action);
 
     asio::any_io_executor executor;
@@ -152,57 +168,99 @@
     std::atomic<bool> accepting{false};
     std::atomic<bool> refusing{false}; ///< No handler starts any more.
     std::atomic<std::uint32_t> openConnections{0};
-    std::atomic<std::uint32_t> refusedConnections{0}; ///< Open connections that were not admitted.
+    std::atomic<std::uint32_t> refusedConnections{0}; ///< Open connections that are not in the table.
     std::array<std::atomic<std::uint64_t>, refusalReasonNames.size()> refusals{};
-    std::mutex mutex;
-    std::unordered_map<Connection *, std::weak_ptr<Connection>> connections;
-    std::map<std::string, std::uint32_t> connectionsByAddress;
+    ConnectionTable connections;
 };
 
 std::optional<RefusalReason> HttpServer::Shared::admit(const std::shared_ptr<Connection> &connection)
 {
-    const std::lock_guard lock(mutex);
-    const auto found = connectionsByAddress.find(connection->remote);
-    const std::uint32_t fromAddress = found == connectionsByAddress.end() ? 0 : found->second;
-    if (connections.size() >= limits.connections || fromAddress >= limits.connectionsPerAddress) {
+    const ConnectionTable::Admission admission = connections.admit(connection);
+    if (!admission.admitted) {
         return RefusalReason::Connections;
     }
-    if (limits.memory) {
-        connection->account = std::make_unique<MemoryBudget::Account>(limits.memory, connection->remote);
-        if (!connection->account->openConnection(connectionBytes)) {
-            return RefusalReason::Memory;
-        }
+    if (admission.evicted) {
+        closeEvicted(admission.evicted);
+    }
+    if (!chargeConnection(*connection, admission.evicted != nullptr)) {
+        connections.release(*connection);
+        return RefusalReason::Memory;
     }
-    ++connectionsByAddress[connection->remote];
-    connections.emplace(connection.get(), connection);
     return std::nullopt;
 }
 
-void HttpServer::Shared::release(const std::shared_ptr<Connection> &connection)
+bool HttpServer::Shared::chargeConnection(Connection &connection, bool replacesAnother)
 {
-    const std::lock_guard lock(mutex);
-    connections.erase(connection.get());
-    const auto found = connectionsByAddress.find(connection->remote);
-    if (found != connectionsByAddress.end() && --found->second == 0) {
-        connectionsByAddress.erase(found);
+    if (!limits.memory) {
+        return true;
+    }
+    connection.account = std::make_unique<MemoryBudget::Account>(limits.memory, connection.address());
+    if (replacesAnother) {
+        connection.account->replaceConnection(connectionBytes);
+        return true;
     }
+    if (connection.account->openConnection(connectionBytes)) {
+        return true;
+    }
+    const auto evicted = connections.evictOne(connection);
+    if (evicted) {
+        closeEvicted(evicted);
+        connection.account->replaceConnection(connectionBytes);
+    }
+    return evicted != nullptr;
 }
 
-void HttpServer::Shared::forEach(const std::function<void(Connection &)> &action)
+void HttpServer::Shared::closeEvicted(const std::shared_ptr<TrackedConnection> &evicted)
 {
-    const std::lock_guard lock(mutex);
-    for (const auto &[raw, weak] : connections) {
-        if (auto connection = weak.lock()) {
-            asio::post(connection->stream.get_executor(), [connection, action] {
-                action(*connection);
-            });
+    const auto connection = std::static_pointer_cast<Connection>(evicted);
+    asio::post(connection->stream.get_executor(), [self = shared_from_this(), connection] {
+        if (connection->ended) {
+            return;
         }
+        if (evictionRank(*connection, TrackedConnection::Clock::now()) == EvictionRank::Never) {
+            self->connections.restore(connection); // Its request has arrived meanwhile.
+            return;
+        }
+        const bool crowded = self->noteOverLimit(*connection);
+        const ConnectionState state = connection->state();
+        connection->evicted = true;
+        self->countRefusal(*connection, RefusalReason::Evicted);
+        const bool mayHaveRequest = state == ConnectionState::Receiving || connection->hasUnreadInput();
+        if (crowded || state == ConnectionState::Sending || state == ConnectionState::Closing || !mayHaveRequest) {
+            connection->stream.close();
+        } else {
+            connection->stream.cancel(); // The request is refused.
+        }
+    });
+}
+
+bool HttpServer::Shared::noteOverLimit(Connection &connection)
+{
+    if (connection.overLimit) {
+        return false;
     }
+    connection.overLimit = true;
+    return refusedConnections++ >= limits.refusedConnections;
+}
+
+void HttpServer::Shared::forEach(const std::function<void(Connection &)> &action)
+{
+    connections.forEach([&action](const std::shared_ptr<TrackedConnection> &tracked) {
+        const auto connection = std::static_pointer_cast<Connection>(tracked);
+        asio::post(connection->stream.get_executor(), [connection, action] {
+            action(*connection);
+        });
+    });
 }
 
 asio::awaitable<void> HttpServer::Shared::acceptLoop()
 {
     while (acceptor.is_open()) {
+        if (openConnections >= openSocketsMax()) {
+            asio::steady_timer timer(acceptor.get_executor(), detail::closeWaitInterval);
+            co_await timer.async_wait(detail::awaitTuple);
+            continue;
+        }
         auto [error, socket] = co_await acceptor.async_accept(asio::make_strand(executor), detail::awaitTuple);
         if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
             break;
@@ -214,16 +272,19 @@
             continue;
         }
         startConnection(std::move(socket));
+        // Each turn of the event loop completes one asynchronous accept. While many requests keep it busy, new
+        // connections would wait for as many turns as there are before them.
+        const std::uint32_t room = openSocketsMax() - std::min(openSocketsMax(), openConnections.load());
+        acceptEstablished(std::min(detail::acceptedPerTurnMax, room));
     }
     accepting = false;
 }
 
-/// Accepts the connections that the kernel has established, because closing the listener would reset them.
-void HttpServer::Shared::acceptEstablished()
+/// Accepts connections that the kernel has established.
+void HttpServer::Shared::acceptEstablished(std::uint32_t countMax)
 {
     beast::error_code error;
-    acceptor.non_blocking(true, error);
-    while (!error) {
+    for (std::uint32_t count = 0; count < countMax && !error; ++count) {
         tcp::socket socket(asio::make_strand(executor));
         acceptor.accept(socket, error);
         if (!error) {
@@ -249,7 +310,7 @@
     const auto self = shared_from_this();
     const std::optional<RefusalReason> refusal = admit(connection);
     Next next = Next::ReadRequest;
-    const bool crowded = refusal && refusedConnections++ >= detail::refusedConnectionsMax;
+    const bool crowded = refusal && noteOverLimit(*connection);
     try {
         if (refusal) {
             countRefusal(*connection, *refusal);
@@ -259,17 +320,17 @@
             next = co_await serveRequest(*connection);
         }
     } catch (const std::exception &error) {
-        log(LogLevel::Error, "connection-failed", {{"remote", connection->remote}, {"error", error.what()}});
+        log(LogLevel::Error, "connection-failed", {{"remote", connection->address()}, {"error", error.what()}});
     }
-    connection->state = ConnectionState::Closing;
+    connection->enter(ConnectionState::Closing);
     if (next == Next::Linger) {
         co_await lingeringClose(*connection);
     }
     connection->stream.close();
-    if (refusal) {
+    connection->ended = true;
+    connections.release(*connection);
+    if (connection->overLimit) {
         --refusedConnections;
-    } else {
-        release(connection);
     }
     --openConnections;
 }
@@ -295,7 +356,7 @@
     const auto index = static_cast<std::size_t>(reason);
     ++refusals[index];
     log(LogLevel::Info, "client-refused",
-        {{"remote", connection.remote}, {"reason", std::string(refusalReasonNames[index])}});
+        {{"remote", connection.address()}, {"reason", std::string(refusalReasonNames[index])}});
 }
 
 asio::awaitable<Next> HttpServer::Shared::sendConnectionRefusal(Connection &connection, RefusalReason reason)
@@ -305,7 +366,7 @@
         = errorResponder(memory ? detail::serviceUnavailable : detail::tooManyRequests,
                          memory ? "no memory is free for the connection" : "too many open connections");
     response.fields.set("Retry-After", detail::refusalRetryAfter);
-    co_return co_await sendResponse(connection, std::move(response), 11, false, false);
+    co_return co_await sendRefusal(connection, std::move(response));
 }
 
 asio::awaitable<Next> HttpServer::Shared::refuse(Connection &connection, RefusalReason reason, unsigned status,
@@ -317,12 +378,30 @@
     if (reason == RefusalReason::Memory) {
         response.fields.set("Retry-After", detail::refusalRetryAfter);
     }
-    co_return co_await sendResponse(connection, std::move(response), 11, false, false);
+    co_return co_await sendRefusal(connection, std::move(response));
+}
+
+asio::awaitable<Next> HttpServer::Shared::sendRefusal(Connection &connection, HttpResponse response)
+{
+    const ResponseForm form{.timeout = std::min(limits.sendTimeout, detail::refusalSendTimeout)};
+    co_return co_await sendResponse(connection, std::move(response), form);
+}
+
+asio::awaitable<Next> HttpServer::Shared::refuseEvicted(Connection &connection)
+{
+    connection.releaseRequest();
+    HttpResponse response = errorResponder(detail::serviceUnavailable,
+                                           "the connection has made room for others; the request has not run");
+    response.fields.set("Retry-After", detail::refusalRetryAfter);
+    co_return co_await sendRefusal(connection, std::move(response));
 }
 
 asio::awaitable<Next> HttpServer::Shared::refuseUnreceived(Connection &connection, const beast::error_code &error,
                                                            bool expired)
 {
+    if (connection.evicted) {
+        co_return co_await refuseEvicted(connection);
+    }
     if (expired) {
         co_return co_await refuse(connection, RefusalReason::Slow, 408,
                                   "the request was not received completely within the time limit");
@@ -347,22 +426,22 @@
     co_return co_await refuse(connection, RefusalReason::Malformed, 400, "malformed HTTP: " + error.message());
 }
 
-asio::awaitable<Next> HttpServer::Shared::sendResponse(Connection &connection, HttpResponse response, unsigned version,
-                                                       bool keepAlive, bool headOnly)
+asio::awaitable<Next> HttpServer::Shared::sendResponse(Connection &connection, HttpResponse response, ResponseForm form)
 {
     const std::string length(response.fields.get("Content-Length"));
-    auto message = toMessage(std::move(response), version, keepAlive);
-    if (headOnly && !length.empty()) {
+    auto message = toMessage(std::move(response), form.version, form.keepAlive);
+    if (form.headOnly && !length.empty()) {
         message.set(http::field::content_length, length);
     }
     if (connection.account) {
         connection.account->setResponse(message.body().size());
     }
-    connection.stream.expires_after(limits.sendTimeout);
+    connection.enter(ConnectionState::Sending);
+    connection.stream.expires_after(form.timeout);
     http::response_serializer<http::string_body> serializer(message);
-    serializer.split(headOnly);
+    serializer.split(form.headOnly);
     beast::error_code error;
-    if (headOnly) {
+    if (form.headOnly) {
         std::tie(error, std::ignore)
             = co_await http::async_write_header(connection.stream, serializer, detail::awaitTuple);
     } else {
@@ -371,7 +450,7 @@
     if (connection.account) {
         connection.account->setResponse(0);
     }
-    co_return !error && keepAlive ? Next::ReadRequest : Next::Linger;
+    co_return !error && form.keepAlive && !connection.evicted ? Next::ReadRequest : Next::Linger;
 }
 
 /// Waits until input arrives on an idle connection. During a drain, only for input that has arrived already, or for the
@@ -380,13 +459,13 @@
 asio::awaitable<bool> HttpServer::Shared::waitForRequest(Connection &connection)
 {
     while (connection.buffer.size() == 0) {
-        if (draining && connection.servedRequest && !connection.hasUnreadInput()) {
+        if (draining && connection.servedRequest() && !connection.hasUnreadInput()) {
             co_return false;
         }
         connection.stream.expires_after(draining ? detail::firstRequestTimeout : limits.idleTimeout);
         auto space = connection.buffer.prepare(4096);
         const auto [error, size] = co_await connection.stream.async_read_some(space, detail::awaitTuple);
-        if (error && (error != asio::error::operation_aborted || !draining)) {
+        if (error && (error != asio::error::operation_aborted || !draining || connection.evicted)) {
             co_return false;
         }
         connection.buffer.commit(size);
@@ -429,12 +508,15 @@
 asio::awaitable<Next> HttpServer::Shared::serveRequest(Connection &connection)
 {
     if (!co_await waitForRequest(connection)) {
+        if (connection.evicted && connection.hasUnreadInput()) {
+            co_return co_await refuseEvicted(connection);
+        }
         co_return Next::Close;
     }
     RequestReader reader(connection.stream, connection.buffer, connection.account.get(), limits.headerBytes,
                          limits.bodyBytes);
     RequestReader::Parser &parser = reader.parser();
-    connection.state = ConnectionState::Receiving;
+    connection.enter(ConnectionState::Receiving);
     // The timeout of the stream would close the socket, and the client would not receive status 408.
     connection.stream.expires_never();
     const auto receiveTimer = std::make_shared<detail::ReceiveTimer>(connection.stream, limits.receiveTimeout);
@@ -448,23 +530,24 @@
         error = co_await reader.readBody();
     }
     receiveTimer->stop();
-    if (error) {
+    if (error || connection.evicted) {
         co_return co_await refuseUnreceived(connection, error, receiveTimer->expired());
     }
     const unsigned version = parser.get().version();
     const bool clientKeepsAlive = parser.get().keep_alive();
     const bool headOnly = parser.get().method() == http::verb::head;
-    HttpRequest request = toRequest(parser.release(), connection.remote);
+    HttpRequest request = toRequest(parser.release(), connection.address());
     connection.stream.expires_never();
-    connection.state = ConnectionState::Handling;
+    connection.enter(ConnectionState::Handling);
     HttpResponse response = co_await awaitResponse(connection, std::move(request));
     // A request that arrived behind this one is answered before the close is announced.
     const bool announceClose = closing && connection.buffer.size() == 0 && !connection.hasUnreadInput();
-    const bool keepAlive = clientKeepsAlive && response.keepAlive && !announceClose;
-    const Next next = co_await sendResponse(connection, std::move(response), version, keepAlive, headOnly);
+    const bool keepAlive = clientKeepsAlive && response.keepAlive && !announceClose && !connection.evicted;
+    const Next next
+        = co_await sendResponse(connection, std::move(response), {version, keepAlive, headOnly, limits.sendTimeout});
     connection.releaseRequest();
-    connection.servedRequest = true;
-    connection.state = ConnectionState::Idle;
+    connection.noteServedRequest();
+    connection.enter(ConnectionState::Idle);
     co_return next;
 }
 
@@ -494,6 +577,9 @@
     if (!error) {
         m_shared->acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
+    if (!error) {
+        m_shared->acceptor.non_blocking(true, error);
+    }
     if (error) {
         throw Error(ErrorKind::BadInput, "cannot listen on " + address + ": " + error.message(),
                     "use an IP address of this VM and a free port");
@@ -522,12 +608,13 @@
     announceClose();
     m_shared->draining = true;
     asio::post(m_shared->acceptor.get_executor(), [shared = m_shared] {
-        shared->acceptEstablished();
+        // Closing the listener would reset them.
+        shared->acceptEstablished(std::numeric_limits<std::uint32_t>::max());
         beast::error_code ignored;
         shared->acceptor.close(ignored);
     });
     m_shared->forEach([](Shared::Connection &connection) {
-        if (connection.state == ConnectionState::Idle) {
+        if (connection.state() == ConnectionState::Idle) {
             connection.stream.cancel(); // waitForRequest() looks for input once more.
         }
     });
@@ -552,14 +639,13 @@
 HttpServerActivity HttpServer::activity() const
 {
     HttpServerActivity activity;
-    const std::lock_guard lock(m_shared->mutex);
-    for (const auto &[raw, weak] : m_shared->connections) {
-        const auto connection = weak.lock();
-        const ConnectionState state = connection ? connection->state.load() : ConnectionState::Closing;
+    m_shared->connections.forEach([&activity](const std::shared_ptr<TrackedConnection> &tracked) {
+        const auto connection = std::static_pointer_cast<Shared::Connection>(tracked);
+        const ConnectionState state = connection->state();
         activity.receiving += state == ConnectionState::Receiving ? 1 : 0;
-        activity.handling += state == ConnectionState::Handling ? 1 : 0;
+        activity.handling += state == ConnectionState::Handling || state == ConnectionState::Sending ? 1 : 0;
         activity.unread += state == ConnectionState::Idle && connection->hasUnreadInput() ? 1 : 0;
-    }
+    });
     return activity;
 }
 
--- a/src/heatherquay/transport/http_server.hpp
+++ b/src/heatherquay/transport/http_server.hpp
@@ -25,8 +25,10 @@
     std::chrono::milliseconds receiveTimeout{10'000}; ///< From the first to the last byte of a request.
     std::chrono::milliseconds idleTimeout{60'000}; ///< For a connection without a request.
     std::chrono::milliseconds sendTimeout{30'000}; ///< For sending one response.
-    std::uint32_t connections{4096}; ///< Open connections of all clients.
+    std::uint32_t connections{4096}; ///< Open connections of all clients. Beyond it, silent and slow ones make room.
     std::uint32_t connectionsPerAddress{1024}; ///< Open connections of one client IP address.
+    /// Connections beyond the limit that wait until their client has read why; further ones are closed at once.
+    std::uint32_t refusedConnections{64};
     /// Charged with what clients make the server hold; null for no limit.
     std::shared_ptr<MemoryBudget> memory;
 };
@@ -39,12 +41,13 @@
     HeaderSize, ///< The header, a chunk header or the trailers exceed the limit.
     BodySize,
     Slow, ///< The request was not received in time.
-    Malformed
+    Malformed,
+    Evicted ///< An open connection has made room for a new one.
 };
 
 /// Names for logs and metrics, indexed by RefusalReason.
-inline constexpr std::array<std::string_view, 6> refusalReasonNames{"connections", "memory", "header-size",
-                                                                    "body-size",   "slow",   "malformed"};
+inline constexpr std::array<std::string_view, 7> refusalReasonNames{
+    "connections", "memory", "header-size", "body-size", "slow", "malformed", "evicted"};
 
 /// What the connections of a server are doing.
 struct HttpServerActivity
