--- a/src/heatherquay/app/entry_process.cpp
+++ b/src/heatherquay/app/entry_process.cpp
@@ -106,6 +106,13 @@
 
 // The rest is for the entry's own state and for responses of endpoints.
 constexpr std::size_t callerMemoryDivisor = 4;
+constexpr std::uint32_t receiveBufferBytes = 64 * 1024;
+// Connections that wait until their client has read a refusal, beyond those of a server.
+constexpr std::uint32_t refusedDivisor = 8;
+constexpr std::uint32_t refusedMin = 4;
+constexpr std::uint32_t refusedMax = 64;
+constexpr std::uint32_t operatorConnections = 64;
+constexpr std::uint64_t operatorBodyBytesMax = 1024 * 1024;
 
 /// Drains a server and returns when that is done, or at the deadline.
 void drainUntil(transport::HttpServer &server, std::chrono::steady_clock::time_point deadline)
@@ -116,15 +123,51 @@
     }
 }
 
-/// @return the budget for what callers make the entry hold. It has room for at least one request of the largest size.
-std::shared_ptr<transport::MemoryBudget> callerMemory(const state::CallerLimits &limits)
+/// @return a budget with room for at least one request of the largest size
+std::shared_ptr<transport::MemoryBudget> budgetFor(const transport::HttpServerLimits &limits, std::size_t bytes)
 {
-    const std::size_t bytes
-        = limits.memoryBytes > 0 ? limits.memoryBytes : transport::usableMemory() / callerMemoryDivisor;
     const std::size_t largest = transport::largestMessageBytes(limits.headerBytes, limits.bodyBytes);
     return std::make_shared<transport::MemoryBudget>(std::max(bytes, transport::MemoryBudget::sizeForRequest(largest)));
 }
 
+/// Limits the connections so that they leave half of the budget to requests.
+void limitConnections(transport::HttpServerLimits &limits)
+{
+    const std::size_t charge = transport::connectionBytes + limits.receiveBufferBytes;
+    const std::size_t room = std::max<std::size_t>(limits.memory->limit() / 2 / charge, 1);
+    limits.connections = static_cast<std::uint32_t>(std::min<std::size_t>(limits.connections, room));
+    limits.refusedConnections = std::clamp(limits.connections / refusedDivisor, refusedMin, refusedMax);
+}
+
+transport::HttpServerLimits callerServerLimits(const state::CallerLimits &settings)
+{
+    transport::HttpServerLimits limits;
+    limits.headerBytes = settings.headerBytes;
+    limits.bodyBytes = settings.bodyBytes;
+    limits.receiveTimeout = settings.sendTimeout;
+    limits.connections = settings.connections;
+    limits.connectionsPerAddress = settings.connectionsPerCaller;
+    limits.receiveBufferBytes = receiveBufferBytes;
+    const std::size_t memory
+        = settings.memoryBytes > 0 ? settings.memoryBytes : transport::usableMemory() / callerMemoryDivisor;
+    limits.memory = budgetFor(limits, memory);
+    limitConnections(limits);
+    return limits;
+}
+
+/// The operators' interface has a budget of its own, so that it is served while callers use theirs up.
+transport::HttpServerLimits operatorServerLimits()
+{
+    transport::HttpServerLimits limits;
+    limits.bodyBytes = operatorBodyBytesMax;
+    limits.connections = operatorConnections;
+    limits.connectionsPerAddress = operatorConnections;
+    limits.receiveBufferBytes = receiveBufferBytes;
+    limits.memory = budgetFor(limits, 0);
+    limitConnections(limits);
+    return limits;
+}
+
 } // namespace detail
 
 struct EntryProcess::Components
@@ -232,23 +275,18 @@
     , burn(settings->services)
     , callerApi(forwarder, settings, callerHooks())
     , operatorApi(settings->operators, operatorPorts())
-    , callerServer(io.get_executor(),
-                   [this](transport::HttpRequest request) {
-                       return callerApi.handle(std::move(request));
-                   },
-                   coordination::CallerApi::refuse,
-                   {.headerBytes = settings->callerLimits.headerBytes,
-                    .bodyBytes = settings->callerLimits.bodyBytes,
-                    .receiveTimeout = settings->callerLimits.sendTimeout,
-                    .connections = settings->callerLimits.connections,
-                    .connectionsPerAddress = settings->callerLimits.connectionsPerCaller,
-                    .memory = detail::callerMemory(settings->callerLimits)})
+    , callerServer(
+          io.get_executor(),
+          [this](transport::HttpRequest request) {
+              return callerApi.handle(std::move(request));
+          },
+          coordination::CallerApi::refuse, detail::callerServerLimits(settings->callerLimits))
     , operatorServer(
           io.get_executor(),
           [this](transport::HttpRequest request) {
               return operatorApi.handle(std::move(request));
           },
-          coordination::CallerApi::refuse)
+          coordination::CallerApi::refuse, detail::operatorServerLimits())
     , peerServer(peerRuntime, io.get_executor(), std::make_shared<PeerService>(peerPorts()),
                  {.address = settings->peerAddress, .secret = settings->peerSecret})
 {
--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -194,18 +194,19 @@
     if (!limits.memory) {
         return true;
     }
+    const std::size_t bytes = connectionBytes + limits.receiveBufferBytes;
     connection.account = std::make_unique<MemoryBudget::Account>(limits.memory, connection.address());
     if (replacesAnother) {
-        connection.account->replaceConnection(connectionBytes);
+        connection.account->replaceConnection(bytes);
         return true;
     }
-    if (connection.account->openConnection(connectionBytes)) {
+    if (connection.account->openConnection(bytes)) {
         return true;
     }
     const auto evicted = connections.evictOne(connection);
     if (evicted) {
         closeEvicted(evicted);
-        connection.account->replaceConnection(connectionBytes);
+        connection.account->replaceConnection(bytes);
     }
     return evicted != nullptr;
 }
@@ -571,6 +572,11 @@
     if (!error) {
         m_shared->acceptor.set_option(asio::socket_base::reuse_address(true), error);
     }
+    if (!error && m_shared->limits.receiveBufferBytes > 0) {
+        // Accepted connections inherit it.
+        m_shared->acceptor.set_option(
+            asio::socket_base::receive_buffer_size(static_cast<int>(m_shared->limits.receiveBufferBytes)), error);
+    }
     if (!error) {
         m_shared->acceptor.bind(endpoint, error);
     }
--- a/src/heatherquay/transport/http_server.hpp
+++ b/src/heatherquay/transport/http_server.hpp
@@ -29,6 +29,9 @@
     std::uint32_t connectionsPerAddress{1024}; ///< Open connections of one client IP address.
     /// Connections beyond the limit that wait until their client has read why; further ones are closed at once.
     std::uint32_t refusedConnections{64};
+    /// Largest input of a connection that the kernel holds (SO_RCVBUF); 0 for the system's default. Charged to the
+    /// budget with the connection.
+    std::uint32_t receiveBufferBytes{};
     /// Charged with what clients make the server hold; null for no limit.
     std::shared_ptr<MemoryBudget> memory;
 };
