Read little from a peer that has not logged in

Operators saw: an entry of 555 MB beside 200 clients that send the start of a message of 8 MiB to the peers' address. Cause: a message is held until its last byte, and each of 64 connections may send one of the largest size before it has shown the shared secret. Connections without a login also kept peers out until their timeout of 5 s. Change: a stream that ends a connection which sends more than a login takes before it has logged in; at the limit, the oldest connection without a login makes room; the socket's receive buffer is bounded.

--- a/src/heatherquay/protocol/peer_server.cpp
+++ b/src/heatherquay/protocol/peer_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <capnp/rpc-twoparty.h>
 #include <openssl/crypto.h>
+#include <sys/socket.h>
 
 namespace heatherquay::protocol
 {
@@ -23,6 +24,8 @@
 {
 
 constexpr std::uint64_t bytesPerWord = 8;
+constexpr std::size_t loginBytesMax = 16 * 1024; // A bootstrap request and a login without its secret.
+constexpr int receiveBufferBytes = 64 * 1024;
 
 /// Result of work that returns void, because runOn() needs a value.
 struct Empty
@@ -186,16 +189,64 @@
     std::shared_ptr<bool> m_authenticated;
 };
 
+/// Ends a connection that sends more than a login takes before it has logged in. A message is held until its last byte.
+class LoginStream final : public kj::AsyncIoStream
+{
+public:
+    /// @param bytesMax most that is read before the login
+    LoginStream(kj::Own<kj::AsyncIoStream> stream, std::shared_ptr<bool> authenticated, std::size_t bytesMax)
+        : m_stream(kj::mv(stream))
+        , m_authenticated(std::move(authenticated))
+        , m_bytesLeft(bytesMax)
+    {
+    }
+
+    kj::Promise<std::size_t> tryRead(void *buffer, std::size_t minBytes, std::size_t maxBytes) override
+    {
+        if (*m_authenticated) {
+            return m_stream->tryRead(buffer, minBytes, maxBytes);
+        }
+        KJ_REQUIRE(minBytes <= m_bytesLeft, "a peer without a login has sent too much");
+        return m_stream->tryRead(buffer, minBytes, std::min(maxBytes, m_bytesLeft)).then([this](std::size_t size) {
+            m_bytesLeft -= size;
+            return size;
+        });
+    }
+    kj::Promise<void> write(const void *buffer, std::size_t size) override
+    {
+        return m_stream->write(buffer, size);
+    }
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override
+    {
+        return m_stream->write(pieces);
+    }
+    kj::Promise<void> whenWriteDisconnected() override
+    {
+        return m_stream->whenWriteDisconnected();
+    }
+    void shutdownWrite() override
+    {
+        m_stream->shutdownWrite();
+    }
+
+private:
+    kj::Own<kj::AsyncIoStream> m_stream;
+    std::shared_ptr<bool> m_authenticated;
+    std::size_t m_bytesLeft;
+};
+
 struct ServerConnection
 {
-    ServerConnection(kj::Own<kj::AsyncIoStream> accepted, capnp::ReaderOptions options,
-                     capnp::Capability::Client loginService)
-        : stream(kj::mv(accepted))
+    ServerConnection(kj::Own<kj::AsyncIoStream> loginStream, std::shared_ptr<bool> loggedIn,
+                     capnp::ReaderOptions options, capnp::Capability::Client loginService)
+        : authenticated(std::move(loggedIn))
+        , stream(kj::mv(loginStream))
         , network(*stream, capnp::rpc::twoparty::Side::SERVER, options)
         , rpc(capnp::makeRpcServer(network, kj::mv(loginService)))
     {
     }
 
+    std::shared_ptr<bool> authenticated;
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
@@ -220,6 +271,8 @@
 
     kj::Promise<void> acceptNext();
     void serve(kj::Own<kj::AsyncIoStream> stream);
+    /// Closes the oldest connection that has not logged in.
+    void closeOldestWithoutLogin();
     void taskFailed(kj::Exception &&exception) override;
 
     kj::Timer &timer;
@@ -235,6 +288,9 @@
 kj::Promise<void> PeerServer::State::acceptNext()
 {
     return receiver->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
+        if (connections.size() >= settings.connections) {
+            closeOldestWithoutLogin();
+        }
         if (connections.size() < settings.connections) {
             serve(kj::mv(stream));
         }
@@ -242,6 +298,16 @@
     });
 }
 
+void PeerServer::State::closeOldestWithoutLogin()
+{
+    const auto oldest = std::find_if(connections.begin(), connections.end(), [](const auto &entry) {
+        return !*entry.second->authenticated;
+    });
+    if (oldest != connections.end()) {
+        connections.erase(oldest);
+    }
+}
+
 void PeerServer::State::serve(kj::Own<kj::AsyncIoStream> stream)
 {
     capnp::ReaderOptions options;
@@ -250,7 +316,10 @@
     wire::Peer::Client service = kj::heap<detail::PeerService>(executor, handler, settings.messageBytesMax / 4);
     auto loginService = kj::heap<detail::LoginService>(settings.secret, kj::mv(service), authenticated);
     const std::uint64_t id = ++nextConnection;
-    auto connection = kj::heap<detail::ServerConnection>(kj::mv(stream), options, kj::mv(loginService));
+    auto loginStream
+        = kj::heap<detail::LoginStream>(kj::mv(stream), authenticated, detail::loginBytesMax + settings.secret.size());
+    auto connection
+        = kj::heap<detail::ServerConnection>(kj::mv(loginStream), authenticated, options, kj::mv(loginService));
     connection->rpc.setFlowLimit(2 * settings.messageBytesMax / detail::bytesPerWord);
     auto loginExpired = timer.afterDelay(settings.loginTimeout.count() * kj::MILLISECONDS).then([authenticated]() {
         return *authenticated ? kj::Promise<void>(kj::NEVER_DONE) : kj::Promise<void>(kj::READY_NOW);
@@ -291,6 +360,9 @@
                           .parseAddress(m_settings.address)
                           .then([this, listening, &context](kj::Own<kj::NetworkAddress> address) {
                               auto receiver = address->listen();
+                              // Accepted connections inherit it.
+                              receiver->setsockopt(SOL_SOCKET, SO_RCVBUF, &detail::receiveBufferBytes,
+                                                   sizeof detail::receiveBufferBytes);
                               const auto bound = static_cast<std::uint16_t>(receiver->getPort());
                               context.owned[this] = std::make_shared<State>(context, *this, kj::mv(receiver));
                               listening->set_value(bound);
