Let connections that are always busy make room, within the budget

Cause: such a connection always has a request that is handled or answered, and no such connection made room. Besides, a new connection was charged beyond the budget in place of the one that it replaced, which the fuzzer of the budget's account showed. Change: a connection that had a request before makes room last; it is closed after the response, and only a few at a time. Evicted connections stay in the table until they end, so that a stop still answers their requests. Connections, with those that are refused, take at most a quarter of a budget, which requests leave to them, so that none is charged beyond it.

--- a/src/heatherquay/transport/connection_table.hpp
+++ b/src/heatherquay/transport/connection_table.hpp
@@ -80,7 +80,8 @@
     Idle, ///< Has no request, but had one before.
     UnreadResponse, ///< The peer has not read a response for longer than slowAfter.
     Request, ///< A request has begun to arrive.
-    Never
+    Busy, ///< A request is handled or answered, after an earlier one on the same connection.
+    Never ///< The first request is handled or answered.
 };
 
 /// Age from which an exchange may make room for others. A caller inside the limits needs a few round trips.
@@ -97,34 +98,34 @@
     struct Admission
     {
         bool admitted{};
-        std::shared_ptr<TrackedConnection> evicted; ///< To be closed by the caller; no longer in the table.
+        std::shared_ptr<TrackedConnection> evicted; ///< To be closed by the caller; no longer counted.
     };
 
     ConnectionTable(std::uint32_t connections, std::uint32_t connectionsPerAddress);
 
     /// Adds a connection, if need be in place of another.
-    Admission admit(const std::shared_ptr<TrackedConnection> &connection);
-    /// Removes the connection that makes room most readily, other than @p newcomer.
-    /// @return null when none does
-    std::shared_ptr<TrackedConnection> evictOne(const TrackedConnection &newcomer);
-    /// Adds an evicted connection again, also beyond the limits.
-    void restore(const std::shared_ptr<TrackedConnection> &connection);
-    /// Removes a connection, unless it was evicted.
+    /// @param last the last rank that may make room
+    Admission admit(const std::shared_ptr<TrackedConnection> &connection, EvictionRank last);
+    /// Removes a connection, also an evicted one.
     void release(const TrackedConnection &connection);
-    /// Calls @p action with each connection, under the table's lock.
+    /// Calls @p action with each connection, also with evicted ones, under the table's lock.
     void forEach(const std::function<void(const std::shared_ptr<TrackedConnection> &)> &action) const;
 
 private:
+    using Connections = std::unordered_map<const TrackedConnection *, std::weak_ptr<TrackedConnection>>;
+
     /// @param address considers only connections from it; all when null
-    std::shared_ptr<TrackedConnection> evict(const std::string *address, const TrackedConnection &newcomer);
-    void add(const std::shared_ptr<TrackedConnection> &connection);
-    void remove(const TrackedConnection &connection);
+    /// @param last the last rank that may make room
+    /// @return the connection that makes room most readily; null when none does
+    std::shared_ptr<TrackedConnection> evict(const std::string *address, EvictionRank last);
+    void uncount(const TrackedConnection &connection);
 
     const std::uint32_t m_connectionsMax;
     const std::uint32_t m_connectionsPerAddressMax;
     mutable std::mutex m_mutex;
     /// An owner calls release() before it destroys a connection, so that each pointer in the table is valid.
-    std::unordered_map<const TrackedConnection *, std::weak_ptr<TrackedConnection>> m_connections;
+    Connections m_connections;
+    Connections m_evicted;
     std::map<std::string, std::uint32_t> m_countByAddress;
 };
 
--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -39,6 +39,11 @@
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
 constexpr std::chrono::milliseconds closeWaitInterval{5};
 constexpr std::uint32_t acceptedPerTurnMax = 32;
+constexpr std::size_t connectionsBudgetDivisor = 4;
+constexpr std::uint32_t connectionsMin = 4;
+constexpr std::uint32_t refusedDivisor = 8; // Of the connections, how many may wait until a refusal is read.
+constexpr std::uint32_t refusedMin = 4;
+constexpr std::uint32_t refusedMax = 64;
 constexpr std::chrono::milliseconds lingerTimeout{500};
 // A refusal fits into the socket's send buffer, unless the client has not read earlier responses.
 constexpr std::chrono::milliseconds refusalSendTimeout{1'000};
@@ -148,14 +153,17 @@
     asio::awaitable<Next> sendResponse(Connection &connection, HttpResponse response, ResponseForm form);
     /// @return why the connection is refused, if it is
     std::optional<RefusalReason> admit(const std::shared_ptr<Connection> &connection);
-    /// Charges a connection to the budget, if need be in place of another one.
-    bool chargeConnection(Connection &connection, bool replacesAnother);
-    /// Ends a connection that was removed from the table. A request that has begun to arrive is refused. A connection
-    /// whose request has arrived completely returns to the table.
+    /// Ends a connection that was evicted. A request that has begun to arrive is refused. One that has arrived
+    /// completely is answered before.
     void closeEvicted(const std::shared_ptr<TrackedConnection> &evicted);
     /// Counts a connection that is not in the table.
     /// @return whether there are too many of them, so that it must be closed at once
     bool noteOverLimit(Connection &connection);
+    /// @return the last rank that makes room. Busy connections stay open for their response, so that only a few may
+    EvictionRank lastEvictionRank() const
+    {
+        return refusedConnections < limits.refusedConnections ? EvictionRank::Busy : EvictionRank::Request;
+    }
     void forEach(const std::function<void(Connection &)> &action);
 
     asio::any_io_executor executor;
@@ -175,42 +183,23 @@
 
 std::optional<RefusalReason> HttpServer::Shared::admit(const std::shared_ptr<Connection> &connection)
 {
-    const ConnectionTable::Admission admission = connections.admit(connection);
+    const ConnectionTable::Admission admission = connections.admit(connection, lastEvictionRank());
     if (!admission.admitted) {
         return RefusalReason::Connections;
     }
     if (admission.evicted) {
         closeEvicted(admission.evicted);
     }
-    if (!chargeConnection(*connection, admission.evicted != nullptr)) {
-        connections.release(*connection);
-        return RefusalReason::Memory;
+    if (limits.memory) {
+        connection->account = std::make_unique<MemoryBudget::Account>(limits.memory, connection->address());
+        if (!connection->account->openConnection(connectionBytes + limits.receiveBufferBytes)) {
+            connections.release(*connection);
+            return RefusalReason::Memory;
+        }
     }
     return std::nullopt;
 }
 
-bool HttpServer::Shared::chargeConnection(Connection &connection, bool replacesAnother)
-{
-    if (!limits.memory) {
-        return true;
-    }
-    const std::size_t bytes = connectionBytes + limits.receiveBufferBytes;
-    connection.account = std::make_unique<MemoryBudget::Account>(limits.memory, connection.address());
-    if (replacesAnother) {
-        connection.account->replaceConnection(bytes);
-        return true;
-    }
-    if (connection.account->openConnection(bytes)) {
-        return true;
-    }
-    const auto evicted = connections.evictOne(connection);
-    if (evicted) {
-        closeEvicted(evicted);
-        connection.account->replaceConnection(bytes);
-    }
-    return evicted != nullptr;
-}
-
 void HttpServer::Shared::closeEvicted(const std::shared_ptr<TrackedConnection> &evicted)
 {
     const auto connection = std::static_pointer_cast<Connection>(evicted);
@@ -218,14 +207,13 @@
         if (connection->ended) {
             return;
         }
-        if (evictionRank(*connection, TrackedConnection::Clock::now()) == EvictionRank::Never) {
-            self->connections.restore(connection); // Its request has arrived meanwhile.
-            return;
-        }
         const bool crowded = self->noteOverLimit(*connection);
         const ConnectionState state = connection->state();
         connection->evicted = true;
         self->countRefusal(*connection, RefusalReason::Evicted);
+        if (evictionRank(*connection, TrackedConnection::Clock::now()) >= EvictionRank::Busy) {
+            return; // The response is sent first.
+        }
         const bool mayHaveRequest = state == ConnectionState::Receiving || connection->hasUnreadInput();
         if (crowded || state == ConnectionState::Sending || state == ConnectionState::Closing || !mayHaveRequest) {
             connection->stream.close();
@@ -552,6 +540,20 @@
     co_return next;
 }
 
+void limitConnections(HttpServerLimits &limits, std::uint32_t connections)
+{
+    if (limits.memory) {
+        const std::size_t charge = connectionBytes + limits.receiveBufferBytes;
+        const std::size_t room = limits.memory->limit() / detail::connectionsBudgetDivisor / charge;
+        // Two eighths more are refused or about to close.
+        const std::size_t admitted = room * detail::refusedDivisor / (detail::refusedDivisor + 2);
+        connections = static_cast<std::uint32_t>(std::min<std::size_t>(connections, admitted));
+    }
+    limits.connections = std::max(connections, detail::connectionsMin);
+    limits.refusedConnections
+        = std::clamp(limits.connections / detail::refusedDivisor, detail::refusedMin, detail::refusedMax);
+}
+
 HttpServer::HttpServer(asio::any_io_executor executor, HttpHandler handler, HttpErrorResponder errorResponder,
                        HttpServerLimits limits)
     : m_shared(std::make_shared<Shared>(std::move(executor), std::move(handler), std::move(errorResponder), limits))
--- a/src/heatherquay/transport/http_server.hpp
+++ b/src/heatherquay/transport/http_server.hpp
@@ -36,6 +36,12 @@
     std::shared_ptr<MemoryBudget> memory;
 };
 
+/// Limits the connections so that they, with those that are refused or about to close, take at most a quarter of the
+/// budget: requests leave that quarter to them. Sets the number of refused connections accordingly.
+/// @param limits must have a budget, unless @p connections alone decides
+/// @param connections most open connections of all clients
+void limitConnections(HttpServerLimits &limits, std::uint32_t connections);
+
 /// Why a server refused a connection or a request. No handler has run for it.
 enum class RefusalReason
 {
--- a/src/heatherquay/transport/memory_budget.cpp
+++ b/src/heatherquay/transport/memory_budget.cpp
@@ -50,12 +50,6 @@
     return true;
 }
 
-void MemoryBudget::Account::replaceConnection(std::size_t bytes)
-{
-    m_budget->chargeBeyond(bytes);
-    m_connection += bytes;
-}
-
 bool MemoryBudget::Account::setRequest(std::size_t bytes)
 {
     if (bytes > m_request && !m_budget->chargeRequest(m_address, bytes - m_request)) {
--- a/src/heatherquay/transport/memory_budget.hpp
+++ b/src/heatherquay/transport/memory_budget.hpp
@@ -29,9 +29,6 @@
         /// Charges what a new connection takes. Connections may use the whole budget.
         /// @return whether the budget has room
         bool openConnection(std::size_t bytes);
-        /// Charges what a new connection takes that replaces another one. It always succeeds, because the other one
-        /// returns its charge when it has closed.
-        void replaceConnection(std::size_t bytes);
         /// Changes what a request holds beside the connection. Requests may use a part of the budget, and those of one
         /// address a part of that, so that small requests find room beside large ones.
         /// @return whether the budget has room; otherwise nothing has changed
--- a/tests/crowds/platform_staying_crowds_test.cpp
+++ b/tests/crowds/platform_staying_crowds_test.cpp
@@ -140,7 +140,7 @@
 {
     const CrowdedProcess crowded;
     for (int visit = 0; visit < 3; ++visit) {
-        crowded.playAgainstCallers(stayingSamples.back());
+        crowded.playAgainstCallers(mixedSample);
         crowded.playAgainstCallers(jsonCrowd(jsonForms.front(), 200));
     }
 }
--- a/tests/crowds/staying_samples.hpp
+++ b/tests/crowds/staying_samples.hpp
@@ -45,6 +45,11 @@
     return wholeRequests(target, std::string(bodyBytesMax, 'b'));
 }
 
+inline StayingScript smallRequests(const Target &target)
+{
+    return {"", target.get + "\r\n", withoutEnd};
+}
+
 inline StayingScript largeChunks(const Target &target)
 {
     const ClientScript script = largeChunksShortOfTheEnd(target);
@@ -92,7 +97,9 @@
     {"tiny chunks, short of the end", {{tinyChunks, 900}}, 60},
     {"trailers, extensions, large and tiny chunks",
      {{stayingTrailers, 225}, {stayingExtension, 225}, {largeChunks, 225}, {tinyChunks, 225}},
-     90}};
+     90},
+    {"whole small requests, responses not read", {{smallRequests, 200}}, 20}};
+inline const StayingSample &mixedSample = stayingSamples[7];
 
 /// A JSON body of the largest size: an opening, an element again and again, and a closing.
 struct JsonForm
--- a/tests/transport/connection_table_test.cpp
+++ b/tests/transport/connection_table_test.cpp
@@ -41,6 +41,7 @@
                                           {ConnectionState::Closing, ConnectionState::Receiving},
                                           {ConnectionState::Receiving, ConnectionState::Handling},
                                           {ConnectionState::Receiving, ConnectionState::Sending}};
+constexpr EvictionRank last = EvictionRank::Busy;
 
 const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -100,9 +101,9 @@
     ConnectionTable table(2, 2);
     const auto second = connectionIn(sample.second);
     const auto first = connectionIn(sample.first);
-    BOOST_TEST(table.admit(second).admitted);
-    BOOST_TEST(table.admit(first).admitted);
-    BOOST_TEST((table.admit(connectionIn(ConnectionState::Idle, "b")).evicted == first));
+    BOOST_TEST(table.admit(second, last).admitted);
+    BOOST_TEST(table.admit(first, last).admitted);
+    BOOST_TEST((table.admit(connectionIn(ConnectionState::Idle, "b"), last).evicted == first));
 }
 
 // Guards against a crowd that uses its connections once and keeps those of others out.
@@ -113,9 +114,9 @@
     const auto older = connectionIn(ConnectionState::Idle, "crowd");
     const auto newer = connectionIn(ConnectionState::Idle, "crowd");
     for (const auto &connection : {only, older, newer}) {
-        table.admit(connection);
+        table.admit(connection, last);
     }
-    BOOST_TEST((table.admit(connectionIn(ConnectionState::Idle, "new")).evicted == older));
+    BOOST_TEST((table.admit(connectionIn(ConnectionState::Idle, "new"), last).evicted == older));
 }
 
 BOOST_AUTO_TEST_CASE(an_address_at_its_limit_replaces_only_its_own_connections)
@@ -123,19 +124,31 @@
     ConnectionTable table(4, 1);
     const auto other = connectionIn(ConnectionState::Idle, "a");
     const auto own = connectionIn(ConnectionState::Receiving, "b");
-    table.admit(other);
-    table.admit(own);
-    BOOST_TEST((table.admit(connectionIn(ConnectionState::Idle, "b")).evicted == own));
+    table.admit(other, last);
+    table.admit(own, last);
+    BOOST_TEST((table.admit(connectionIn(ConnectionState::Idle, "b"), last).evicted == own));
 }
 
 BOOST_AUTO_TEST_CASE(connections_whose_handlers_run_make_no_room)
 {
     ConnectionTable table(1, 1);
     const auto handling = connectionIn(ConnectionState::Handling);
-    table.admit(handling);
-    BOOST_TEST(!table.admit(connectionIn(ConnectionState::Idle)).admitted);
+    table.admit(handling, last);
+    BOOST_TEST(!table.admit(connectionIn(ConnectionState::Idle), last).admitted);
     table.release(*handling);
-    BOOST_TEST(table.admit(connectionIn(ConnectionState::Idle)).admitted);
+    BOOST_TEST(table.admit(connectionIn(ConnectionState::Idle), last).admitted);
+}
+
+// Guards against a crowd that sends one request behind the other and so always has one that is handled.
+BOOST_AUTO_TEST_CASE(connections_with_an_earlier_request_make_room_last_while_one_is_handled)
+{
+    ConnectionTable table(1, 1);
+    const auto busy = connectionIn(ConnectionState::Handling);
+    busy->noteServedRequest();
+    table.admit(busy, last);
+    const auto newcomer = connectionIn(ConnectionState::Idle);
+    BOOST_TEST(!table.admit(newcomer, EvictionRank::Request).admitted);
+    BOOST_TEST((table.admit(newcomer, last).evicted == busy));
 }
 
 BOOST_AUTO_TEST_CASE(a_new_connection_is_served_in_place_of_silent_ones)
