--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -103,7 +103,7 @@
         std::unique_ptr<MemoryBudget::Account> account; ///< Null without a budget.
         bool evicted{}; ///< Has made room for another connection.
         bool overLimit{}; ///< Counted in refusedConnections, because it is not in the table.
-        bool ended{};
+        bool ended{}; ///< The socket is closed, and the coroutine of the connection returns.
         std::shared_ptr<detail::PendingResponse> pending; ///< While the handler of a request runs.
     };
 
--- a/src/heatherquay/transport/http_server.hpp
+++ b/src/heatherquay/transport/http_server.hpp
@@ -38,7 +38,7 @@
 
 /// Limits the connections so that they, with those that are refused or about to close, take at most a quarter of the
 /// budget: requests leave that quarter to them. Sets the number of refused connections accordingly.
-/// @param limits must have a budget, unless @p connections alone decides
+/// @param limits without a budget, @p connections alone decides
 /// @param connections most open connections of all clients
 void limitConnections(HttpServerLimits &limits, std::uint32_t connections);
 
