Name the reader of a body in the project's style

Cause: the linter rejects the class name that Beast's concept of a body asks for. Change: the class has the project's name, and an alias has Beast's.

--- a/src/heatherquay/transport/growing_body.hpp
+++ b/src/heatherquay/transport/growing_body.hpp
@@ -18,7 +18,11 @@
 /// for a peer that sends nothing more.
 struct GrowingBody
 {
+    class Reader;
+
+    // The names are those of Beast's concept of a body.
     using value_type = std::string;
+    using reader = Reader;
     using writer = boost::beast::http::string_body::writer;
 
     static std::uint64_t size(const value_type &body)
@@ -26,11 +30,11 @@
         return body.size();
     }
 
-    class reader
+    class Reader
     {
     public:
         template<bool isRequest, class Fields>
-        reader(boost::beast::http::header<isRequest, Fields> &, value_type &body)
+        Reader(boost::beast::http::header<isRequest, Fields> &, value_type &body)
             : m_body(body)
         {
         }
