--- a/tests/crowds/product_staying_crowds_test.cpp
+++ b/tests/crowds/product_staying_crowds_test.cpp
@@ -31,8 +31,8 @@
 StayingScript peerMessage(std::uint32_t words)
 {
     std::string header(8, '\0');
-    for (int byte = 0; byte < 4; ++byte) {
-        header[static_cast<std::size_t>(4 + byte)] = static_cast<char>((words >> (8 * byte)) & 0xff);
+    for (std::size_t byte = 0; byte < 4; ++byte) {
+        header[4 + byte] = static_cast<char>((words >> (8 * byte)) & 0xff);
     }
     return {header, std::string(1'024, '\0'), words / 128 - 1};
 }
--- a/tests/crowds/staying_crowd.cpp
+++ b/tests/crowds/staying_crowd.cpp
@@ -98,7 +98,10 @@
     source.sin_addr.s_addr = htonl(firstSource + static_cast<std::uint32_t>(client.number % m_addresses));
     const int enabled = 1;
     ::setsockopt(client.socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enabled, sizeof enabled);
-    ::bind(client.socket, reinterpret_cast<const sockaddr *>(&source), sizeof source);
+    if (::bind(client.socket, reinterpret_cast<const sockaddr *>(&source), sizeof source) != 0) {
+        disconnect(client);
+        return;
+    }
     sockaddr_in peer{};
     peer.sin_family = AF_INET;
     peer.sin_port = htons(m_target.port);
