Accept at most an eighth of the connections in a turn

Cause: the operators' budget held 15 connections, and up to 32 were accepted in a turn. Of 32 that arrived together each replaced an older one, also the ordinary one, before it had been read. Change: at most an eighth of the limit is accepted in a turn; the operators' budget of 16 MiB and a smaller receive buffer hold all 64 connections.

--- a/src/heatherquay/app/entry_process.cpp
+++ b/src/heatherquay/app/entry_process.cpp
@@ -111,6 +111,8 @@
 constexpr std::uint32_t receiveBufferBytes = 64 * 1024;
 constexpr std::uint32_t operatorConnections = 64;
 constexpr std::uint64_t operatorBodyBytesMax = 1024 * 1024;
+constexpr std::uint32_t operatorReceiveBufferBytes = 16 * 1024;
+constexpr std::size_t operatorMemoryBytes = 16 * 1024 * 1024; // A quarter of it holds all connections.
 
 /// Drains a server and returns when that is done, or at the deadline.
 void drainUntil(transport::HttpServer &server, std::chrono::steady_clock::time_point deadline)
@@ -160,8 +162,8 @@
     limits.bodyBytes = operatorBodyBytesMax;
     limits.connections = operatorConnections;
     limits.connectionsPerAddress = operatorConnections;
-    limits.receiveBufferBytes = receiveBufferBytes;
-    limits.memory = budgetFor(limits.headerBytes, limits.bodyBytes, 0);
+    limits.receiveBufferBytes = operatorReceiveBufferBytes;
+    limits.memory = budgetFor(limits.headerBytes, limits.bodyBytes, operatorMemoryBytes);
     transport::limitConnections(limits, limits.connections);
     return limits;
 }
--- a/src/heatherquay/transport/http_server.cpp
+++ b/src/heatherquay/transport/http_server.cpp
@@ -39,6 +39,8 @@
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
 constexpr std::chrono::milliseconds closeWaitInterval{5};
 constexpr std::uint32_t acceptedPerTurnMax = 32;
+// Of the connections, how many are accepted in a turn. The others have time for their first request.
+constexpr std::uint32_t acceptedDivisor = 8;
 constexpr std::size_t connectionsBudgetDivisor = 4;
 constexpr std::uint32_t connectionsMin = 4;
 constexpr std::uint32_t refusedDivisor = 8; // Of the connections, how many may wait until a refusal is read.
@@ -264,7 +266,7 @@
         // Each turn of the event loop completes one asynchronous accept. While many requests keep it busy, new
         // connections would wait for as many turns as there are before them.
         const std::uint32_t room = openSocketsMax() - std::min(openSocketsMax(), openConnections.load());
-        acceptEstablished(std::min(detail::acceptedPerTurnMax, room));
+        acceptEstablished(std::min({detail::acceptedPerTurnMax, limits.connections / detail::acceptedDivisor, room}));
     }
     accepting = false;
 }
