--- a/review/standin-3/platform_standin.py
+++ b/review/standin-3/platform_standin.py
@@ -495,6 +495,8 @@
 
     async def play():
         system = System(record)
+        # SIGTERM from outside must not leave processes behind.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(system, record), 110)
         finally:
@@ -502,7 +504,7 @@
 
     try:
         held = asyncio.run(play())
-    except Exception as error:  # The case could not run.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not run.
         record(f"the case could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
