--- a/review/15/case.py
+++ b/review/15/case.py
@@ -54,8 +54,8 @@
         while not ended:
             number += 1
             await call(system.address(number % system.count), "POST", f"/q1/a{number:015x}", {"spec": "x", "steps": [
-                {"count": 60, "cpu": 10, "memMb": 1, "estimateMs": 100}]})
-            await asyncio.sleep(0.25)
+                {"count": 100, "cpu": 10, "memMb": 1, "estimateMs": 100}]})
+            await asyncio.sleep(0.2)
 
     traffic = asyncio.create_task(submit_short_jobs())
     await asyncio.sleep(4)
