Keep a submission from taking effect after its cancellation was answered

Cause: a cancellation that found no job stored nothing, and a submission was conditional only on the absence of the job's own row, so that one whose outcome was open (a suspended process, a late write of the store, a relayed request) took effect afterwards. Change: such a cancellation stores an intake row that withdraws the id in each part before it answers; a submission is conditional on the absence of both rows and answers 409 where the id is withdrawn; the decider removes the row with those of ended jobs. Why it works: the two writes exclude each other by their conditions, whichever process or time carries them out.

--- a/src/heatherquay/coordination/batch/acceptance.hpp
+++ b/src/heatherquay/coordination/batch/acceptance.hpp
@@ -15,6 +15,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +28,7 @@
 {
     Accepted, ///< The job is stored, by this or by an earlier call with the same id.
     IdTaken, ///< The id belongs to a job that the caller may not access; this job is not stored.
+    Withdrawn, ///< The job was cancelled before it was stored; it is not stored and will not be stored later.
     NotStored, ///< This call did not store the job and will not store it later.
     Unknown ///< The job may be stored already or may still be stored later.
 };
@@ -35,7 +37,7 @@
 enum class CancelOutcome
 {
     Recorded,
-    NoSuchJob,
+    NoSuchJob, ///< No job has the id, and no earlier submission of it is stored later.
     NotRecorded ///< The store did not confirm the request, which may still take effect; a retry is safe.
 };
 
@@ -81,12 +83,13 @@
                                                  Clock::time_point deadline)
     {
         const std::vector<std::string> parts = m_health.silentLast(partsOf(job.id), Clock::now());
+        std::map<std::string, std::uint64_t> strayIntakeRows; // Versions of intake rows without a job, by part.
         bool mayBeStored = false;
         for (std::size_t attempt = 0;; ++attempt) {
             const std::string &part = parts[attempt % parts.size()];
             const auto timeout
                 = std::min(remainingCallTime(deadline), parts.size() > 1 ? m_times.partTimeout : m_times.callTimeout);
-            const auto commit = co_await m_store.transact(storeTransaction(job, part), timeout);
+            const auto commit = co_await m_store.transact(storeTransaction(job, part, strayIntakeRows[part]), timeout);
             noteCall(part, commit.status != protocol::CommitStatus::Unknown, timeout);
             if (commit.status == protocol::CommitStatus::Committed) {
                 co_return AcceptOutcome::Accepted;
@@ -97,12 +100,19 @@
                     const auto owner = ownerOf(*stored);
                     co_return !owner || mayAccess(*owner) ? AcceptOutcome::Accepted : AcceptOutcome::IdTaken;
                 }
+                const auto intake = storedRow(commit.current, intakeRow(job.id, part));
+                if (intake && isWithdrawn(*intake)) {
+                    // An attempt in another part may still take effect before the cancellation reaches that part.
+                    co_return mayBeStored &&parts.size() > 1 ? AcceptOutcome::Unknown : AcceptOutcome::Withdrawn;
+                }
                 // Only the row proves that the job is stored. The next attempt resolves the contradiction.
-                mayBeStored = true;
+                mayBeStored = mayBeStored || !intake;
+                strayIntakeRows[part] = intake ? intake->version : 0;
             }
             mayBeStored = mayBeStored || commit.status == protocol::CommitStatus::Unknown;
             // After a definite failure the caller can try another entry process at once.
-            if (!mayBeStored || Clock::now() + m_times.retryDelay >= deadline) {
+            const bool definite = !mayBeStored && commit.status != protocol::CommitStatus::Conflict;
+            if (definite || Clock::now() + m_times.retryDelay >= deadline) {
                 break;
             }
             co_await protocol::waitFor(m_times.retryDelay);
@@ -110,7 +120,9 @@
         co_return mayBeStored ? AcceptOutcome::Unknown : AcceptOutcome::NotStored;
     }
 
-    /// Records a request to cancel a job.
+    /// Records a request to cancel a job. Where no job is stored, it makes sure that an earlier submission whose
+    /// outcome is open, for example one that a suspended process or the store carries out late, does not store it
+    /// afterwards.
     /// @param mayAccess whether the caller may cancel the jobs of an owner; other jobs do not exist for it
     /// @param deadline no attempt starts after this time
     template<std::predicate<const JobOwner &> Access>
@@ -119,9 +131,14 @@
         while (Clock::now() < deadline) {
             const auto found = co_await readIntake(job, deadline);
             if (found.ok && !found.row) {
-                co_return CancelOutcome::NoSuchJob;
-            }
-            if (found.ok) {
+                const auto withdrawn = co_await withdraw(job, deadline);
+                if (withdrawn == protocol::CommitStatus::Committed) {
+                    co_return CancelOutcome::NoSuchJob;
+                }
+                if (withdrawn == protocol::CommitStatus::NotCommitted) {
+                    co_return CancelOutcome::NotRecorded;
+                }
+            } else if (found.ok) {
                 IntakeRecord record = decodeIntake(found.row->value);
                 if (!mayAccess(JobOwner{record.queue, record.team})) {
                     co_return CancelOutcome::NoSuchJob;
@@ -168,6 +185,9 @@
             const auto page = co_await m_store.read(range, remainingCallTime(deadline));
             found.ok = found.ok && page.ok;
             if (page.ok && !page.rows.empty() && page.rows.front().key.key == job.value) {
+                if (isWithdrawn(page.rows.front())) {
+                    continue;
+                }
                 found.ok = true;
                 found.row = page.rows.front();
                 break;
@@ -193,10 +213,37 @@
         return known ? std::vector<std::string>{*known} : orderIntakeParts(job, m_routing.parts);
     }
 
-    static protocol::batch::RowTransaction storeTransaction(const state::batch::JobSpec &job, const std::string &part)
+    /// Stores a row in each part that can take the job, so that no submission stores it from now on.
+    /// @return Committed when all parts have it; Conflict when another row has appeared meanwhile, which may be that of
+    /// the job; NotCommitted when the store rejected the call; Unknown when it did not answer
+    boost::asio::awaitable<protocol::CommitStatus> withdraw(const state::JobId &job, Clock::time_point deadline)
+    {
+        IntakeRecord record;
+        record.cancelRequested = true;
+        record.withdrawn = true;
+        for (const std::string &part : orderIntakeParts(job, m_routing.parts)) {
+            protocol::batch::RowTransaction transaction;
+            transaction.conditions.push_back({jobRow(job, part), 0});
+            transaction.conditions.push_back({intakeRow(job, part), 0});
+            transaction.puts.push_back({intakeRow(job, part), encodeIntake(record)});
+            const auto commit = co_await m_store.transact(transaction, remainingCallTime(deadline));
+            const auto present = storedRow(commit.current, intakeRow(job, part));
+            const bool stored
+                = commit.status == protocol::CommitStatus::Committed || (present && isWithdrawn(*present));
+            if (!stored) {
+                co_return commit.status;
+            }
+        }
+        co_return protocol::CommitStatus::Committed;
+    }
+
+    /// @param strayIntakeRow version of an intake row without a job, which is replaced; 0 for none
+    static protocol::batch::RowTransaction storeTransaction(const state::batch::JobSpec &job, const std::string &part,
+                                                            std::uint64_t strayIntakeRow)
     {
         protocol::batch::RowTransaction transaction;
         transaction.conditions.push_back({jobRow(job.id, part), 0});
+        transaction.conditions.push_back({intakeRow(job.id, part), strayIntakeRow});
         transaction.puts.push_back({jobRow(job.id, part), protocol::batch::encodeJob(job)});
         transaction.puts.push_back({intakeRow(job.id, part), encodeIntake({job.queue, false, job.team})});
         return transaction;
@@ -223,6 +270,16 @@
         return found == rows.end() ? std::nullopt : std::optional(*found);
     }
 
+    /// @return whether the intake row is that of a job which was cancelled before it was stored
+    static bool isWithdrawn(const protocol::batch::StoredRow &row)
+    {
+        try {
+            return decodeIntake(row.value).withdrawn;
+        } catch (const Error &) {
+            return false;
+        }
+    }
+
     /// @return nothing when the row is not readable
     static std::optional<JobOwner> ownerOf(const protocol::batch::StoredRow &row)
     {
--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -221,10 +221,16 @@
 void Decider<Store, Worker>::handleBoardChange(const state::JobId &job)
 {
     const auto entry = m_ports.board->find(job);
-    if (entry && entry->cancelRequested && m_recovered) {
+    if (!entry || !m_recovered) {
+        return;
+    }
+    if (entry->cancelRequested) {
         m_scheduler.cancel(job);
         wake();
     }
+    if (isWithdrawn(*entry)) {
+        m_endedAt.try_emplace(job, now());
+    }
 }
 
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
@@ -331,7 +337,7 @@
         if (entry.statusVersion > 0) {
             m_writer.setKnownVersion(statusRow(id), entry.statusVersion);
         }
-        if (state::batch::isFinal(entry.state)) {
+        if (state::batch::isFinal(entry.state) || isWithdrawn(entry)) {
             m_endedAt.try_emplace(id, now()); // Also a job of which the predecessor has left only the status.
         }
     }
--- a/src/heatherquay/coordination/batch/decider_intake_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_intake_impl.hpp
@@ -62,7 +62,9 @@
 boost::asio::awaitable<bool> Decider<Store, Worker>::removeIntake(const state::JobId &job)
 {
     const auto found = m_intakeParts.find(job);
-    const IntakePartSet parts = found == m_intakeParts.end() ? IntakePartSet(1) : found->second;
+    const auto entry = m_ports.board->find(job);
+    IntakePartSet parts = found == m_intakeParts.end() ? IntakePartSet(1) : found->second;
+    parts |= entry ? entry->withdrawnParts : IntakePartSet();
     for (std::uint32_t index = 0; index < intakePartsMax; ++index) {
         const std::string part = intakePartName(index);
         const std::vector<protocol::batch::RowKey> rows{jobRow(job, part), intakeRow(job, part)};
--- a/src/heatherquay/coordination/batch/job_board.cpp
+++ b/src/heatherquay/coordination/batch/job_board.cpp
@@ -19,6 +19,9 @@
     if (!record.team.value.empty()) {
         json["team"] = record.team.value;
     }
+    if (record.withdrawn) {
+        json["withdrawn"] = true;
+    }
     return boost::json::serialize(json);
 }
 
@@ -28,15 +31,15 @@
     const boost::json::value json = boost::json::parse(text, error);
     if (error) {
         throw Error(ErrorKind::BadInput, "intake record is not JSON: " + error.message(),
-                    "remove the row, or restore a JSON object with the string \"queue\", the optional boolean "
-                    "\"cancel\" and the "
-                    "optional string \"team\"");
+                    "remove the row, or restore a JSON object with the string \"queue\", the optional booleans "
+                    "\"cancel\" and \"withdrawn\" and the optional string \"team\"");
     }
     IntakeRecord record;
     protocol::detail::FieldReader reader(json, "intake");
     reader("queue", record.queue);
     reader.optional("cancel", record.cancelRequested);
     reader.optional("team", record.team.value);
+    reader.optional("withdrawn", record.withdrawn);
     return record;
 }
 
@@ -53,12 +56,13 @@
         BoardEntry &entry = found->second;
         if (intake) {
             entry.intakeParts.reset(*intake);
+            entry.withdrawnParts.reset(*intake);
             entry.accepted = entry.intakeParts.any();
         } else {
             entry.statusVersion = 0;
             entry.state = state::batch::JobState::Queued;
         }
-        if (!entry.accepted && entry.statusVersion == 0) {
+        if (!entry.accepted && entry.withdrawnParts.none() && entry.statusVersion == 0) {
             m_jobs.erase(found);
         }
         return job;
@@ -67,6 +71,11 @@
         if (intake) {
             const IntakeRecord record = decodeIntake(row.value);
             BoardEntry &entry = m_jobs[job];
+            if (record.withdrawn) {
+                entry.withdrawnParts.set(*intake);
+                return job;
+            }
+            entry.withdrawnParts.reset(*intake);
             entry.queue = record.queue;
             entry.team = record.team;
             // A second row of the job, in another part, does not revoke a cancellation that the first one holds.
--- a/src/heatherquay/coordination/batch/job_board.hpp
+++ b/src/heatherquay/coordination/batch/job_board.hpp
@@ -20,17 +20,27 @@
     state::TeamId team; ///< Empty when the intake row names none.
     bool accepted{}; ///< An intake row has been seen.
     IntakePartSet intakeParts; ///< Parts with an intake row; more than one only after a change of their number.
+    IntakePartSet withdrawnParts; ///< Parts with an intake row that holds no job, see IntakeRecord::withdrawn.
     bool cancelRequested{};
     std::uint64_t statusVersion{}; ///< Version of the status row; 0 when the decider has not written one yet.
     state::batch::JobState state{state::batch::JobState::Queued};
 };
 
+/// @return whether the entry only records that a job was cancelled before it was stored
+inline bool isWithdrawn(const BoardEntry &entry)
+{
+    return !entry.accepted && entry.withdrawnParts.any();
+}
+
 /// Value of a job's intake row, which the entry process writes.
 struct IntakeRecord
 {
     std::string queue;
     bool cancelRequested{};
     state::TeamId team; ///< Empty for a submission without a key, and in rows of earlier versions.
+    /// The job was cancelled before it was stored. Such a row belongs to nobody and prevents that a submission whose
+    /// outcome was open at that time stores the job later.
+    bool withdrawn{};
 };
 
 /// @return the record as JSON text for the intake row
--- a/tests/batch/intake_parts_test.cpp
+++ b/tests/batch/intake_parts_test.cpp
@@ -208,6 +208,37 @@
     }
 }
 
+// Guards against rows of jobs cancelled before they were stored that stay in the store, also after a failover.
+BOOST_DATA_TEST_CASE(a_job_cancelled_before_it_was_stored_is_removed_from_all_parts,
+                     boost::unit_test::data::make({false, true}), failover)
+{
+    auto acceptance = makeAcceptance(intakePartsMax);
+    const auto cancelJob = [&] {
+        const auto deadline = std::chrono::steady_clock::now() + 1s;
+        BOOST_TEST((await(acceptance.cancel({"a"}, anyOwner, deadline)) == CancelOutcome::NoSuchJob));
+        BOOST_TEST((accept(acceptance, "a") == AcceptOutcome::Withdrawn));
+    };
+    if (failover) {
+        cancelJob(); // The predecessor has ended.
+    }
+    process = std::make_unique<DeciderProcess>(context, store, workers, 1, DeciderTimes().clockRateMin, 100ms);
+    if (!failover) {
+        cancelJob();
+    }
+    const auto isRemoved = [this] {
+        const auto parts = intakePartNames();
+        return std::all_of(parts.begin(), parts.end(), [this](const std::string &part) {
+            return store.value(intakeRow({"a"}, part)).empty();
+        });
+    };
+    for (int i = 0; i < 100 && !isRemoved(); ++i) {
+        process->confirmedAt = std::chrono::steady_clock::now();
+        runFor(20ms);
+    }
+    BOOST_TEST(isRemoved());
+    BOOST_TEST((accept(acceptance, "a") == AcceptOutcome::Accepted));
+}
+
 // Guards against rows of ended jobs that stay in the store, in parts other than the first.
 BOOST_AUTO_TEST_CASE(an_ended_job_is_removed_from_all_parts)
 {
--- a/tests/platform/job_access_test.cpp
+++ b/tests/platform/job_access_test.cpp
@@ -295,6 +295,20 @@
     BOOST_TEST(call("GET", "/batch/" + jobA, "blue-1") == 410U); // The cancellation keeps the team.
 }
 
+// Guards against a submission that is accepted although its job was cancelled before it was stored.
+BOOST_AUTO_TEST_CASE(a_job_cancelled_before_it_was_stored_is_refused)
+{
+    BOOST_TEST(call("DELETE", "/batch/" + jobA, "red-1") == 410U);
+    BOOST_TEST(call("POST", "/batch/" + jobA, "red-1") == 409U);
+    BOOST_TEST(body == R"({"error":"the job was cancelled before it was stored; submit it under another id"})");
+    BOOST_TEST(stored(jobRow({jobA})).empty());
+    BOOST_TEST(call("GET", "/batch/" + jobA, "red-1") == 410U);
+    showOnBoard(jobA);
+    BOOST_TEST(call("GET", "/batch/" + jobA, "red-1") == 410U);
+    BOOST_TEST(call("DELETE", "/batch/" + jobA, "red-1") == 410U);
+    BOOST_TEST(entry.board.queuedJobCount("batch") == 0U);
+}
+
 // Guards against 200 for a job that never runs because its id is taken, and against one that replaces the other.
 BOOST_AUTO_TEST_CASE(an_id_that_another_team_or_queue_uses_is_refused)
 {
