Show a job as running only after a worker has begun it

Cause: the state was set when a start was planned, and again by a successor for each recorded run; nothing set it back when the start was refused, not answered or given up. Change: the state follows the worker's confirmation (answer to the start, listed run, end); a successor takes the state that its predecessor has shown, or finds it from what only a run that has begun leaves. Why it works: only the worker knows that a task has begun.

--- a/src/heatherquay/state/batch/progress.hpp
+++ b/src/heatherquay/state/batch/progress.hpp
@@ -11,8 +11,8 @@
 
 enum class JobState
 {
-    Queued,
-    Running,
+    Queued, ///< No task has begun.
+    Running, ///< A worker has confirmed that a task has begun; stays so when that run is stopped.
     Completed,
     Failed,
     Cancelled
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -60,7 +60,7 @@
     }
 }
 
-void Scheduler::submit(const JobSpec &spec, Instant now)
+void Scheduler::submit(const JobSpec &spec, Instant now, bool begun)
 {
     const auto [position, added] = m_jobs.try_emplace(spec.id);
     if (!added) {
@@ -68,6 +68,7 @@
     }
     Job &job = position->second;
     job.spec = spec;
+    job.state = begun ? JobState::Running : JobState::Queued;
     const auto queue = m_queues.find(spec.queue);
     job.policy = queue == m_queues.end() ? spec.policy : queue->second;
     if (spec.repetitions == 0) {
@@ -162,8 +163,9 @@
         if (recorded.done) {
             finishUnit(job, occurrence, unit);
         }
-        if (recorded.run > 0 && job.state == JobState::Queued) {
-            job.state = JobState::Running;
+        // A recorded run may have been refused, or never sent.
+        if (recorded.done || recorded.failures > 0 || !recorded.checkpoint.empty()) {
+            noteBegun(job);
         }
         for (const WorkerId &id : recorded.workers) {
             Member &member = unit.members.emplace_back();
@@ -331,6 +333,7 @@
         }
         if (const auto alive = running.find(key); alive != running.end()) {
             const RunningReport &entry = *alive->second;
+            noteBegun(*run.job);
             if (member.phase != RunPhase::Running) {
                 member.phase = RunPhase::Running;
                 member.startedAt = now;
@@ -480,6 +483,7 @@
     const StepSpec &step = stepOf(*run.job, unit);
     Member &member = *run.member;
     run.occurrence->changed = true;
+    noteBegun(*run.job);
     if (!end.checkpoint.empty()) {
         unit.checkpoint = end.checkpoint;
     }
@@ -528,6 +532,7 @@
         return;
     }
     located.occurrence->changed = true;
+    noteBegun(*located.job);
     finishUnit(*located.job, *located.occurrence, *located.unit);
     stopUnit(*located.unit, StopReason::Superseded);
 }
@@ -551,6 +556,14 @@
     }
 }
 
+void Scheduler::noteBegun(Job &job)
+{
+    if (job.state == JobState::Queued) {
+        job.state = JobState::Running;
+        job.statusChanged = true;
+    }
+}
+
 void Scheduler::endJob(Job &job, JobState state)
 {
     job.state = state;
@@ -649,6 +662,7 @@
     }
     switch (outcome) {
     case StartOutcome::Started:
+        noteBegun(*located.job);
         member.phase = RunPhase::Running;
         member.startedAt = now;
         member.startSeen = located.unit->checkpoint.empty();
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -229,7 +229,8 @@
     void setGuarantees(const std::vector<TeamGuarantee> &guarantees);
 
     /// Adds an accepted job. Ignores jobs that are already known.
-    void submit(const JobSpec &job, Instant now);
+    /// @param begun whether the job has been reported as running before, by a predecessor
+    void submit(const JobSpec &job, Instant now, bool begun = false);
     void cancel(const JobId &job);
     /// Restores the position in the schedule of a submitted job. Must be called before the job's records are restored.
     void restore(const ScheduleRecord &record);
@@ -458,6 +459,8 @@
     /// Accepts the result of a run that was given up while its worker was silent: the work is done.
     void handleLateDone(const EndReport &end);
     void finishUnit(Job &job, Occurrence &occurrence, Unit &unit);
+    /// Sets a queued job to running: a worker has confirmed that a task of it has begun.
+    static void noteBegun(Job &job);
     void endJob(Job &job, JobState state);
     /// Fails the job when the unit has no attempts left.
     void failIfAttemptsExhausted(Job &job, const Unit &unit);
--- a/src/heatherquay/state/batch/scheduler_runs.cpp
+++ b/src/heatherquay/state/batch/scheduler_runs.cpp
@@ -210,10 +210,6 @@
     if (job.history.firstStart == Duration{}) {
         job.history.firstStart = job.history.lastStart;
     }
-    if (job.state == JobState::Queued) {
-        job.state = JobState::Running;
-        job.statusChanged = true;
-    }
     for (std::size_t i = 0; i < unit.members.size(); ++i) {
         Member &member = unit.members[i];
         member.phase = RunPhase::Planned;
--- a/tests/batch/pool_simulation.cpp
+++ b/tests/batch/pool_simulation.cpp
@@ -545,7 +545,7 @@
     const Instant leaseUntil = m_now + detail::predecessorLease;
     for (const auto &[id, job] : m_jobs) {
         if (!isFinal(stateOf(id))) {
-            m_scheduler->submit(job, m_now);
+            m_scheduler->submit(job, m_now, stateOf(id) == JobState::Running);
             if (m_cancelled.contains(id)) {
                 m_scheduler->cancel(id);
             }
