--- a/src/heatherquay/coordination/batch/decider_intake_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_intake_impl.hpp
@@ -86,8 +86,7 @@
         return;
     }
     m_endedAt.erase(job.id);
-    const bool begun
-        = entry && entry->state == state::batch::JobState::Running && entry->statusVersion > version;
+    const bool begun = entry && entry->state == state::batch::JobState::Running && entry->statusVersion > version;
     m_scheduler.submit(job, now(), begun);
     if (entry && entry->cancelRequested) {
         m_scheduler.cancel(job.id);
