Log what jobs request, which racks are reserved and how much is kept

Change: lines job-admitted (what a job requests) and rack-reserved (with the rack's workers that are kept for urgent jobs), and the field kept in decider-load.

--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -584,6 +584,12 @@
                         {"for_job", eviction.beneficiary.value},
                         {"lost_core_s", std::to_string(static_cast<std::int64_t>(eviction.lostCoreSeconds))}});
     }
+    for (const auto &reservation : decision.reservations) {
+        transport::log(transport::LogLevel::Info, "rack-reserved",
+                       {{"job", reservation.job.value},
+                        {"rack", reservation.rack},
+                        {"kept", std::to_string(reservation.workersKeptForUrgent)}});
+    }
     for (const auto &release : decision.releases) {
         transport::log(transport::LogLevel::Warn, "run-given-up",
                        {{"task", toString(release.task)},
--- a/src/heatherquay/coordination/batch/decider_intake_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_intake_impl.hpp
@@ -15,6 +15,36 @@
 namespace heatherquay::coordination::batch
 {
 
+namespace detail
+{
+
+/// Logs what a job requests, which tells jobs that find no room from those that wait for another reason.
+inline void logAdmission(const state::batch::JobSpec &job)
+{
+    state::batch::Resources most;
+    std::uint32_t gangMembers = 0;
+    bool sameRack = false;
+    for (const state::batch::StepSpec &step : job.steps) {
+        most.cpuMillicores = std::max(most.cpuMillicores, step.need.cpuMillicores);
+        most.memoryMegabytes = std::max(most.memoryMegabytes, step.need.memoryMegabytes);
+        most.accelerators = std::max(most.accelerators, step.need.accelerators);
+        gangMembers = std::max(gangMembers, step.gang ? step.taskCount : 0U);
+        sameRack = sameRack || step.sameRack;
+    }
+    transport::log(transport::LogLevel::Info, "job-admitted",
+                   {{"job", job.id.value},
+                    {"queue", job.queue},
+                    {"steps", std::to_string(job.steps.size())},
+                    {"tasks", std::to_string(taskCount(job))},
+                    {"gang_members", std::to_string(gangMembers)},
+                    {"same_rack", sameRack ? "true" : "false"},
+                    {"cpu_millicores", std::to_string(most.cpuMillicores)},
+                    {"memory_mb", std::to_string(most.memoryMegabytes)},
+                    {"accelerators", std::to_string(most.accelerators)}});
+}
+
+} // namespace detail
+
 template<protocol::batch::RowStore Store, protocol::batch::WorkerCalls Worker>
 void Decider<Store, Worker>::applyJobRow(const protocol::batch::StoredRow &row)
 {
@@ -87,6 +117,7 @@
     }
     m_endedAt.erase(job.id);
     const bool begun = entry && entry->state == state::batch::JobState::Running && entry->statusVersion > version;
+    detail::logAdmission(job);
     m_scheduler.submit(job, now(), begun);
     if (entry && entry->cancelRequested) {
         m_scheduler.cancel(job.id);
--- a/src/heatherquay/coordination/batch/decider_load.cpp
+++ b/src/heatherquay/coordination/batch/decider_load.cpp
@@ -79,7 +79,8 @@
                     {"reserved", std::to_string(usage.reserved)},
                     {"starting", std::to_string(usage.starting)},
                     {"running", std::to_string(usage.running)},
-                    {"stopping", std::to_string(usage.stopping)}});
+                    {"stopping", std::to_string(usage.stopping)},
+                    {"kept", std::to_string(usage.kept)}});
     m_sums = {};
     m_begunAt = now;
 }
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -863,6 +863,7 @@
     };
     for (const auto &[id, worker] : m_pool.all()) {
         usage.capacity += worker.registered ? worker.spec.capacity.accelerators : 0;
+        usage.kept += worker.registered && worker.keptForUrgent ? worker.spec.capacity.accelerators : 0;
     }
     for (const auto &[id, runs] : m_runsOn) {
         for (const RunRef &ref : runs) {
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -142,6 +142,14 @@
     Unknown ///< Not answered: the worker may execute the order, now or later.
 };
 
+/// A rack that is kept free for a gang until it fits there, for the log.
+struct RackReservation
+{
+    JobId job;
+    std::string rack;
+    std::uint32_t workersKeptForUrgent{}; ///< Workers of the rack that the gang may not use.
+};
+
 /// A preemption, for the log and the metrics.
 struct Eviction
 {
@@ -195,6 +203,7 @@
     std::vector<PaceOrder> paces; ///< May be sent without storing a record first.
     std::vector<AdviceOrder> advice; ///< In order of urgency, most urgent first.
     std::vector<Eviction> evictions; ///< For the log.
+    std::vector<RackReservation> reservations; ///< For the log; those that are new.
     std::vector<TaskId> hung; ///< Runs stopped because they made no progress, for the log.
     std::vector<Release> releases; ///< Since the previous pass, for the log.
 };
@@ -215,6 +224,7 @@
     std::int64_t starting{}; ///< By runs whose start is not confirmed.
     std::int64_t running{};
     std::int64_t stopping{}; ///< By runs that are being stopped.
+    std::int64_t kept{}; ///< Of the workers that are kept for urgent jobs, whether they are in use or not.
 };
 
 /// Decides which tasks run on which workers. Handles queue priorities, team guarantees, gangs, racks and unreliable
@@ -501,7 +511,8 @@
     /// @return the most core-seconds of lost work per core-second that the step needs, outside a guarantee
     double lostWorkLimit(const ReadyStep &ready, Instant wall) const;
     /// Reserves a rack for a gang that does not fit now.
-    void reserveRack(const ReadyStep &ready, Instant now, std::set<std::string> &reservedRacks);
+    void reserveRack(const ReadyStep &ready, Decision &decision, Instant now, std::set<std::string> &reservedRacks);
+    void noteReservation(const JobId &job, const std::string &rack, Decision &decision) const;
     /// @return core-seconds of work left on each worker
     std::map<WorkerId, double> remainingWork(Instant now);
     /// Records the reported progress of a run and updates the worker's slowness from it.
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace heatherquay::state::batch
 {
@@ -217,7 +218,7 @@
             first.placeAgainAt = now + first.placementPause;
         }
         if (step.gang && !urgent) {
-            reserveRack(ready, now, reservedRacks);
+            reserveRack(ready, decision, now, reservedRacks);
         }
         const bool comparable = step.tasksPerWorkerMax == 0 && !ready.job->policy.advice;
         if (comparable) {
@@ -404,7 +405,16 @@
     return left;
 }
 
-void Scheduler::reserveRack(const ReadyStep &ready, Instant now, std::set<std::string> &reservedRacks)
+void Scheduler::noteReservation(const JobId &job, const std::string &rack, Decision &decision) const
+{
+    const auto kept = std::count_if(m_pool.all().begin(), m_pool.all().end(), [&rack](const auto &entry) {
+        return entry.second.keptForUrgent && entry.second.spec.rack == rack;
+    });
+    decision.reservations.push_back({job, rack, static_cast<std::uint32_t>(kept)});
+}
+
+void Scheduler::reserveRack(const ReadyStep &ready, Decision &decision, Instant now,
+                            std::set<std::string> &reservedRacks)
 {
     const StepSpec &step = ready.job->spec.steps[ready.step];
     Unit &unit = *ready.units.front();
@@ -416,7 +426,11 @@
     request.tasksMin = step.taskCount;
     request.reservedRacks = &reservedRacks;
     if (unit.reservedRack.empty() || reservedRacks.contains(unit.reservedRack)) {
-        unit.reservedRack = Placement(m_pool, now).rackToReserve(request, remainingWork(now));
+        const std::string before
+            = std::exchange(unit.reservedRack, Placement(m_pool, now).rackToReserve(request, remainingWork(now)));
+        if (!unit.reservedRack.empty() && unit.reservedRack != before) {
+            noteReservation(ready.job->spec.id, unit.reservedRack, decision);
+        }
     }
     if (!unit.reservedRack.empty()) {
         reservedRacks.insert(unit.reservedRack);
