--- a/tests/batch/urgent_reserve_test.cpp
+++ b/tests/batch/urgent_reserve_test.cpp
@@ -1,4 +1,5 @@
 #include "batch/pool_simulation.hpp"
+#include "heatherquay/state/batch/placement.hpp"
 #include "heatherquay/state/batch/urgent_reserve.hpp"
 
 #include <boost/test/data/test_case.hpp>
@@ -76,6 +77,36 @@
     BOOST_TEST(uneven.kept().empty());
 }
 
+// Guards against a gang that waits for good, because a rack is reserved for it that is kept for urgent jobs.
+BOOST_AUTO_TEST_CASE(a_rack_that_a_gang_may_not_use_is_not_reserved_for_it)
+{
+    UnevenPool uneven(2);
+    std::map<state::WorkerId, double> remainingWork;
+    for (auto &[id, worker] : uneven.pool.all()) {
+        worker.keptForUrgent = worker.spec.rack == "r0";
+        remainingWork[id] = worker.keptForUrgent ? 0 : 1'000;
+    }
+    StepSpec step;
+    step.taskCount = 4;
+    step.need = {26'000, 140'000, 8};
+    step.gang = true;
+    step.sameRack = true;
+    PlacementRequest request;
+    request.step = &step;
+    request.service = "service";
+    request.tasks = step.taskCount;
+    request.tasksMin = step.taskCount;
+    const Placement placement(uneven.pool, uneven.now);
+    BOOST_TEST(placement.rackToReserve(request, remainingWork) == "r1");
+    BOOST_TEST(!placement.mayReserve(request, "r0"));
+    BOOST_TEST(placement.mayReserve(request, "r1"));
+    request.usesKept = true;
+    BOOST_TEST(placement.rackToReserve(request, remainingWork) == "r0");
+    uneven.pool.find({"w07"})->keptForUrgent = true; // One worker of the other rack.
+    request.usesKept = false;
+    BOOST_TEST(placement.rackToReserve(request, remainingWork).empty());
+}
+
 // Guards against urgent work that leaves ordinary work without any worker.
 BOOST_AUTO_TEST_CASE(at_most_half_of_a_service_is_kept)
 {
