Cancel submissions without an answer in the soak

Change: they cancel three of ten submissions whose outcome is open, at any node, and may repeat them; 410 then counts as the acknowledgement. A condition is named in Acceptance::submit().

--- a/src/heatherquay/coordination/batch/acceptance.hpp
+++ b/src/heatherquay/coordination/batch/acceptance.hpp
@@ -103,7 +103,8 @@
                 const auto intake = storedRow(commit.current, intakeRow(job.id, part));
                 if (intake && isWithdrawn(*intake)) {
                     // An attempt in another part may still take effect before the cancellation reaches that part.
-                    co_return mayBeStored &&parts.size() > 1 ? AcceptOutcome::Unknown : AcceptOutcome::Withdrawn;
+                    const bool openElsewhere = mayBeStored && parts.size() > 1;
+                    co_return openElsewhere ? AcceptOutcome::Unknown : AcceptOutcome::Withdrawn;
                 }
                 // Only the row proves that the job is stored. The next attempt resolves the contradiction.
                 mayBeStored = mayBeStored || !intake;
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -26,6 +26,7 @@
 constexpr std::chrono::milliseconds responseTimeout{4'500}; // Beyond the deadline, to see late responses.
 constexpr std::chrono::milliseconds resetDelay{20}; // For the reset that may follow the end of a connection.
 constexpr std::size_t liveJobsMax = 600;
+constexpr double openSubmissionsCancelled = 0.3; // Share of the submissions without an answer.
 constexpr unsigned submissionAttemptsMax = 5;
 constexpr double settlingRateFactor = 2;
 
@@ -147,6 +148,10 @@
         if (job.acceptedAt || (job.rejectedOnly && draw() < 0.7)) {
             co_return;
         }
+        // A submission with an open outcome must not take effect after its cancellation; repeats may follow.
+        if (!job.rejectedOnly && !job.cancelSent && draw() < detail::openSubmissionsCancelled) {
+            co_await cancel(job);
+        }
         co_await detail::pause(*m_context.io, std::chrono::milliseconds(200 + drawIndex(600)));
     }
 }
@@ -190,14 +195,17 @@
 asio::awaitable<void> SoakClient::cancel(SoakJob &job)
 {
     m_context.book->sendCancel(job);
+    const bool accepted = job.acceptedAt.has_value();
     const Result result = co_await exchange("DELETE", "/batch/" + job.id, "");
-    if (result.outcome == Outcome::Answered && result.status == 410) {
+    const bool unknown = result.outcome == Outcome::Answered && result.status == 410;
+    if (unknown && accepted) {
         m_context.report->violation({Clock::now(), "LOST", m_context.nodes[m_lastNode]->name(), job.id,
                                      "DELETE of an accepted job was answered with 410"});
     }
-    if (result.outcome == Outcome::Answered && result.status / 100 == 2 && !job.cancelledAt) {
+    const bool recorded = result.outcome == Outcome::Answered && result.status / 100 == 2;
+    if ((recorded || (unknown && !accepted)) && !job.cancelledAt) {
         job.cancelledAt = Clock::now();
-        m_context.report->count("cancelled");
+        m_context.report->count(recorded ? "cancelled" : "withdrawn");
     }
 }
 
