--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -315,15 +315,6 @@
     return static_cast<std::uint32_t>(std::min<std::uint64_t>(fit, std::numeric_limits<std::uint32_t>::max()));
 }
 
-std::uint32_t Placement::openTaskCapacity(const Candidates &pool, const PlacementRequest &request)
-{
-    Candidates open;
-    std::copy_if(pool.begin(), pool.end(), std::back_inserter(open), [&request](const Candidate &candidate) {
-        return request.usesKept || !candidate.worker->keptForUrgent;
-    });
-    return idleTaskCapacity(open, request);
-}
-
 std::map<std::string, Placement::Candidates> Placement::workersByRack(const PlacementRequest &request) const
 {
     // Current use is ignored: a gang waits for a busy rack that is large enough, but not for one that is too small.
@@ -340,13 +331,6 @@
     return racks;
 }
 
-bool Placement::mayReserve(const PlacementRequest &request, const std::string &rack) const
-{
-    const auto racks = workersByRack(request);
-    const auto found = racks.find(rack);
-    return found != racks.end() && openTaskCapacity(found->second, request) >= request.tasksMin;
-}
-
 std::string Placement::rackToReserve(const PlacementRequest &request,
                                      const std::map<WorkerId, double> &remainingWork) const
 {
@@ -355,7 +339,7 @@
     for (const auto &[rack, workers] : workersByRack(request)) {
         const bool allowed = request.step->dataRack.empty() || request.step->dataRack == rack;
         const bool reserved = request.reservedRacks != nullptr && request.reservedRacks->contains(rack);
-        if (!allowed || reserved || openTaskCapacity(workers, request) < request.tasksMin) {
+        if (!allowed || reserved || idleTaskCapacity(workers, request) < request.tasksMin) {
             continue;
         }
         double left = 0;
--- a/src/heatherquay/state/batch/placement.hpp
+++ b/src/heatherquay/state/batch/placement.hpp
@@ -79,13 +79,9 @@
     findWithEviction(const PlacementRequest &request,
                      const std::map<WorkerId, ReclaimableResources> &reclaimable) const;
 
-    /// @return whether a gang fits into a rack once its workers are idle, without those that are kept for urgent jobs
-    /// unless the request uses them
-    bool mayReserve(const PlacementRequest &request, const std::string &rack) const;
-
     /// Chooses a rack to reserve for a gang that does not fit now.
     /// @param remainingWork core-seconds of work left on each worker
-    /// @return the rack with the least work left of those that it may reserve; empty when there is none
+    /// @return the large enough rack with the least work left; empty when there is none
     std::string rackToReserve(const PlacementRequest &request, const std::map<WorkerId, double> &remainingWork) const;
 
 private:
@@ -138,8 +134,6 @@
     std::optional<PlacementWithEviction> chooseWorkers(const PlacementRequest &request, const Candidates &pool) const;
     /// @return how many tasks of the step fit on the workers when they are idle
     static std::uint32_t idleTaskCapacity(const Candidates &pool, const PlacementRequest &request);
-    /// @return the same for the workers that the request may use at all
-    static std::uint32_t openTaskCapacity(const Candidates &pool, const PlacementRequest &request);
 
     void noteExamined(std::size_t workers) const;
 
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -425,11 +425,9 @@
     request.tasks = step.taskCount;
     request.tasksMin = step.taskCount;
     request.reservedRacks = &reservedRacks;
-    const Placement placement(m_pool, now);
-    if (unit.reservedRack.empty() || reservedRacks.contains(unit.reservedRack)
-        || !placement.mayReserve(request, unit.reservedRack)) {
+    if (unit.reservedRack.empty() || reservedRacks.contains(unit.reservedRack)) {
         const std::string before
-            = std::exchange(unit.reservedRack, placement.rackToReserve(request, remainingWork(now)));
+            = std::exchange(unit.reservedRack, Placement(m_pool, now).rackToReserve(request, remainingWork(now)));
         if (!unit.reservedRack.empty() && unit.reservedRack != before) {
             noteReservation(ready.job->spec.id, unit.reservedRack, decision);
         }
