--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -512,6 +512,7 @@
     double lostWorkLimit(const ReadyStep &ready, Instant wall) const;
     /// Reserves a rack for a gang that does not fit now.
     void reserveRack(const ReadyStep &ready, Decision &decision, Instant now, std::set<std::string> &reservedRacks);
+    /// Adds a new reservation to the decision, for the log.
     void noteReservation(const JobId &job, const std::string &rack, Decision &decision) const;
     /// @return core-seconds of work left on each worker
     std::map<WorkerId, double> remainingWork(Instant now);
