--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -129,8 +129,8 @@
             return historyContainsInOrder(jobA,
                                           {{"job-submitted", "status=200"},
                                            {"decider-elected", "token=2"},
-                                           {"job-state", "state=running"},
                                            {"run-ordered", "outcome=started"},
+                                           {"job-state", "state=running"},
                                            {"run-ended", "how=done"}});
         },
         3s));
