Log what of the kept room is idle and what evictions cost whom

Cause: the logs could not tell apart whether gangs wait beside idle workers that are kept for urgent jobs, beside free accelerators in pieces, or lose their work to evictions. Change: decider-load has kept_idle and waiting_gangs, run-evicted the priorities, the members of the victim and whether the beneficiary is within a guarantee. No change of decisions.

--- a/src/heatherquay/coordination/batch/decider_impl.hpp
+++ b/src/heatherquay/coordination/batch/decider_impl.hpp
@@ -581,7 +581,11 @@
     for (const auto &eviction : decision.evictions) {
         transport::log(transport::LogLevel::Info, "run-evicted",
                        {{"task", toString(eviction.victim)},
+                        {"priority", std::to_string(eviction.victimPriority)},
+                        {"members", std::to_string(eviction.victimMembers)},
                         {"for_job", eviction.beneficiary.value},
+                        {"for_priority", std::to_string(eviction.beneficiaryPriority)},
+                        {"guaranteed", eviction.guaranteed ? "true" : "false"},
                         {"lost_core_s", std::to_string(static_cast<std::int64_t>(eviction.lostCoreSeconds))}});
     }
     for (const auto &reservation : decision.reservations) {
--- a/src/heatherquay/coordination/batch/decider_load.cpp
+++ b/src/heatherquay/coordination/batch/decider_load.cpp
@@ -80,7 +80,9 @@
                     {"starting", std::to_string(usage.starting)},
                     {"running", std::to_string(usage.running)},
                     {"stopping", std::to_string(usage.stopping)},
-                    {"kept", std::to_string(usage.kept)}});
+                    {"kept", std::to_string(usage.kept)},
+                    {"kept_idle", std::to_string(usage.keptIdle)},
+                    {"waiting_gangs", std::to_string(usage.waitingGangs)}});
     m_sums = {};
     m_begunAt = now;
 }
--- a/src/heatherquay/state/batch/scheduler.cpp
+++ b/src/heatherquay/state/batch/scheduler.cpp
@@ -863,7 +863,10 @@
     };
     for (const auto &[id, worker] : m_pool.all()) {
         usage.capacity += worker.registered ? worker.spec.capacity.accelerators : 0;
-        usage.kept += worker.registered && worker.keptForUrgent ? worker.spec.capacity.accelerators : 0;
+        if (worker.registered && worker.keptForUrgent) {
+            usage.kept += worker.spec.capacity.accelerators;
+            usage.keptIdle += std::max<std::int64_t>(worker.free().accelerators, 0);
+        }
     }
     for (const auto &[id, runs] : m_runsOn) {
         for (const RunRef &ref : runs) {
@@ -871,6 +874,19 @@
             shareOf(run) += allocationOf(*run.job, *run.unit).accelerators;
         }
     }
+    for (const auto &[id, job] : m_jobs) {
+        if (job.policy.priority == 0 || isFinal(job.state)) {
+            continue;
+        }
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (const Unit &unit : occurrence.units) {
+                const StepSpec &step = stepOf(job, unit);
+                if (step.gang && unit.waiting() && dependenciesDone(job, occurrence, unit.step)) {
+                    usage.waitingGangs += step.need.accelerators * step.taskCount;
+                }
+            }
+        }
+    }
     return usage;
 }
 
--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -154,7 +154,11 @@
 struct Eviction
 {
     TaskId victim; ///< First task of the unit.
+    std::uint32_t victimPriority{};
+    std::uint32_t victimMembers{}; ///< Tasks that stop together.
     JobId beneficiary;
+    std::uint32_t beneficiaryPriority{};
+    bool guaranteed{}; ///< The beneficiary is within its team's guarantee, so that the lost work is not limited.
     double lostCoreSeconds{};
 };
 
@@ -225,6 +229,8 @@
     std::int64_t running{};
     std::int64_t stopping{}; ///< By runs that are being stopped.
     std::int64_t kept{}; ///< Of the workers that are kept for urgent jobs, whether they are in use or not.
+    std::int64_t keptIdle{}; ///< Of these, those that nothing holds.
+    std::int64_t waitingGangs{}; ///< Requested by gangs of ordinary jobs that wait and whose dependencies are done.
 };
 
 /// Decides which tasks run on which workers. Handles queue priorities, team guarantees, gangs, racks and unreliable
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -665,8 +665,10 @@
         ++victim.run.job->history.evictions;
         stopUnit(*victim.run.unit, StopReason::Evicted);
         victim.run.unit->stoppedFor = job.spec.id;
-        decision.evictions.push_back(
-            {taskOf(*victim.run.job, *victim.run.occurrence, *victim.run.unit, 0), job.spec.id, victim.lost});
+        decision.evictions.push_back({taskOf(*victim.run.job, *victim.run.occurrence, *victim.run.unit, 0),
+                                      victim.run.job->policy.priority,
+                                      static_cast<std::uint32_t>(victim.run.unit->members.size()), job.spec.id,
+                                      ready.priority, guaranteed, victim.lost});
         noteEvicted(*victim.run.unit);
     }
     auto next = chosen->workers.begin();
