Order waiting work by priority before its latest start

Callers saw: gangs of the middle priority waited while work of the lowest priority took what became free. Cause: below the urgent jobs, waiting steps were ordered by their latest start alone, so that a job of priority 2 with short tasks, which are due earlier, always came before one of priority 1. Queues are documented as served by priority. Change: the order is value left, priority, latest start. The new test failed before: the job of priority 2 had started (1 != 0).

--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -102,11 +102,9 @@
         }
     }
     const auto key = [](const ReadyStep &step) {
-        // Urgent jobs come first while they have value, then other jobs that have value. Within each group, jobs are
-        // ordered by the latest start that meets their next deadline: the objective or, once it is missed, the time
-        // when their value ends.
-        const bool urgent = step.priority == 0;
-        return std::tuple(step.lateness == Lateness::Expired, !urgent, step.latestStart, step.job->spec.id);
+        // Jobs that have value come first, by priority. Jobs of one priority are ordered by the latest start that meets
+        // their next deadline: the objective or, once it is missed, the time when their value ends.
+        return std::tuple(step.lateness == Lateness::Expired, step.priority, step.latestStart, step.job->spec.id);
     };
     std::sort(ready.begin(), ready.end(), [&](const ReadyStep &left, const ReadyStep &right) {
         return key(left) < key(right);
--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -390,6 +390,29 @@
     checkNoViolations(pool);
 }
 
+// Guards against work of a high priority that gets its turn only after all work that is due earlier.
+BOOST_AUTO_TEST_CASE(waiting_work_starts_by_priority_before_its_latest_start)
+{
+    PoolSimulation pool;
+    pool.setQueue("middle", {"service", 1, 2, 3, state::Duration(1'000)});
+    pool.setQueue("low", {"service", 2, 2, 3, state::Duration(1'000)});
+    pool.addWorkers(1, 8, wholeWorker);
+    pool.submit(makeJob("fill", 1, largeTask, 2s));
+    pool.advance(500ms);
+    JobSpec low = makeJob("low", 1, largeTask, 1s);
+    low.queue = "low";
+    pool.submit(low);
+    JobSpec middle = makeJob("middle", 1, largeTask, 4s);
+    middle.queue = "middle";
+    pool.submit(middle);
+    pool.advance(3s);
+    BOOST_TEST(pool.startsOf({idOf("middle"), 0, 0, 0}) == 1U);
+    BOOST_TEST(pool.startsOf({idOf("low"), 0, 0, 0}) == 0U);
+    pool.advance(6s);
+    BOOST_TEST((pool.stateOf(idOf("low")) == JobState::Completed));
+    checkNoViolations(pool);
+}
+
 // Guards against placing work with slack on a fast worker, from which urgent work then has to evict it. A slow worker
 // on which it meets its deadline is preferred.
 BOOST_AUTO_TEST_CASE(work_with_slack_leaves_fast_workers_to_urgent_work)
