--- a/tests/batch/scheduler_test.cpp
+++ b/tests/batch/scheduler_test.cpp
@@ -390,6 +390,33 @@
     checkNoViolations(pool);
 }
 
+// Guards against a gang whose work is thrown away although room for the guarantee becomes free in time.
+BOOST_AUTO_TEST_CASE(a_guarantee_spares_costly_work_while_its_time_allows)
+{
+    PoolSimulation pool;
+    pool.setQueue("urgent", urgentPolicy());
+    pool.scheduler().setGuarantees({{{"team"}, 64}});
+    pool.addWorkers(4, 8, wholeWorker);
+    const auto submitGang = [&pool](const std::string &id, const std::string &queue, state::Duration work) {
+        JobSpec gang = makeJob(id, 2, largeTask, work);
+        gang.queue = queue;
+        gang.steps.front().gang = true;
+        pool.submit(gang);
+    };
+    submitGang("long", "batch", 12s);
+    pool.advance(4'400ms);
+    submitGang("first", "urgent", 4s);
+    pool.advance(3'400ms);
+    submitGang("second", "urgent", 1s);
+    pool.advance(1s);
+    BOOST_TEST(pool.startsOf({idOf("second"), 0, 0, 1}) == 1U);
+    BOOST_TEST(pool.wasted() == 0);
+    submitGang("third", "urgent", 1s);
+    pool.advance(1'800ms);
+    BOOST_TEST(pool.startsOf({idOf("third"), 0, 0, 1}) == 1U);
+    checkNoViolations(pool);
+}
+
 // Guards against work of a high priority that gets its turn only after all work that is due earlier.
 BOOST_AUTO_TEST_CASE(waiting_work_starts_by_priority_before_its_latest_start)
 {
