Lend room that recent urgent jobs do not need to gangs

Callers saw: gangs of the middle priority waited, some without ever beginning, while a tenth of the accelerators was idle. Cause: the room kept for urgent jobs follows the largest demand of 20 s, and after a burst it stays idle for as long. Change: what is kept beyond the largest demand of the last 4 s is open to gangs of ordinary jobs, not to single tasks, which would fill it at once. The new test failed before: the gang did not fit.

--- a/src/heatherquay/state/batch/placement.cpp
+++ b/src/heatherquay/state/batch/placement.cpp
@@ -141,7 +141,7 @@
         }
         const bool accepts = m_pool.acceptsRuns(worker, m_now);
         const bool usable = request.anyPlace ? WorkerPool::isUsable(worker) : accepts;
-        const bool kept = worker.keptForUrgent && !request.usesKept;
+        const bool kept = worker.keptForUrgent && !request.usesKept && !(step.gang && worker.lentToGangs);
         if (worker.spec.service != request.service || !usable || kept
             || (!step.requiredLabel.empty() && !worker.hasLabel(step.requiredLabel))
             || worker.slowness > request.slownessMax || (!request.anyPlace && detail::interferes(step, worker))
--- a/src/heatherquay/state/batch/urgent_reserve.cpp
+++ b/src/heatherquay/state/batch/urgent_reserve.cpp
@@ -25,13 +25,13 @@
     }
 }
 
-std::int64_t UrgentReserve::target(const std::string &service) const
+std::int64_t UrgentReserve::target(const std::string &service, Instant since) const
 {
     const auto found = m_demand.find(service);
     std::int64_t largest = 0;
     if (found != m_demand.end()) {
         for (const Sample &sample : found->second) {
-            largest = std::max(largest, sample.accelerators);
+            largest = sample.at >= since ? std::max(largest, sample.accelerators) : largest;
         }
     }
     return static_cast<std::int64_t>(m_settings.headroom * static_cast<double>(largest));
@@ -85,6 +85,7 @@
         };
         const std::int64_t initial = demandUnknown ? std::min(guaranteed, share(m_settings.initialShareMax)) : 0;
         const std::int64_t wanted = std::max(target(service), initial);
+        const std::int64_t wantedNow = target(service, now - m_settings.lendingWindow);
         std::int64_t chosen = 0;
         for (Worker *worker : workers) {
             const std::int64_t with = chosen + worker->spec.capacity.accelerators;
@@ -92,11 +93,13 @@
                 break;
             }
             kept.insert(worker);
+            worker->lentToGangs = chosen >= wantedNow;
             chosen = with;
         }
     }
     for (auto &[id, worker] : pool.all()) {
         worker.keptForUrgent = kept.contains(&worker);
+        worker.lentToGangs = worker.lentToGangs && worker.keptForUrgent;
     }
 }
 
--- a/src/heatherquay/state/batch/urgent_reserve.hpp
+++ b/src/heatherquay/state/batch/urgent_reserve.hpp
@@ -17,6 +17,8 @@
     bool enabled{true};
     /// Room is kept for the largest demand of this time. Covers one swing of the load.
     Duration demandWindow{20'000};
+    /// Room beyond the largest demand of this time is lent to gangs of other jobs.
+    Duration lendingWindow{4'000};
     double headroom{1.2}; ///< Room kept per accelerator of that demand; covers what gangs cannot use of their racks.
     Duration demandInterval{500}; ///< Resolution of the demand over time.
     double capacityShareMax{0.5}; ///< Largest share of a service's accelerators that is kept.
@@ -28,7 +30,9 @@
 };
 
 /// Keeps workers free of other work for urgent jobs, so that they start without evicting anything. The room follows the
-/// recent demand: it is the largest number of accelerators that urgent tasks have used or waited for at one time.
+/// recent demand: it is the largest number of accelerators that urgent tasks have used or waited for at one time. What
+/// only an earlier burst has needed is lent to gangs, which seldom find room elsewhere; single tasks would fill it at
+/// once.
 class UrgentReserve
 {
 public:
@@ -40,8 +44,9 @@
     /// Chooses the workers to keep and marks them in the pool. Workers stay chosen while they are needed.
     /// @param guaranteed accelerators that teams can claim at any time
     void choose(WorkerPool &pool, std::int64_t guaranteed, Instant now);
+    /// @param since time from which the demand counts; all that is known by default
     /// @return accelerators that the recent demand of the service asks to keep
-    std::int64_t target(const std::string &service) const;
+    std::int64_t target(const std::string &service, Instant since = {}) const;
 
 private:
     struct Sample
--- a/src/heatherquay/state/batch/worker_pool.hpp
+++ b/src/heatherquay/state/batch/worker_pool.hpp
@@ -57,6 +57,7 @@
     Duration quarantine{};
     Instant quarantinedUntil;
     bool keptForUrgent{}; ///< Takes urgent jobs only, see UrgentReserve.
+    bool lentToGangs{}; ///< Kept, but takes gangs of other jobs as well.
     bool slownessMeasured{}; ///< slowness rests on runs there that were compared with others of their step.
     double slowness{1}; ///< Learned run time relative to the expected one; 1 is normal speed.
     SpeedEstimate speed; ///< What slowness is computed from.
--- a/tests/batch/urgent_reserve_test.cpp
+++ b/tests/batch/urgent_reserve_test.cpp
@@ -105,6 +105,39 @@
     BOOST_TEST(placement.rackToReserve(request, remainingWork).empty());
 }
 
+// Guards against gangs that wait beside idle workers that an earlier burst of urgent jobs has needed.
+BOOST_AUTO_TEST_CASE(gangs_use_room_that_recent_urgent_jobs_do_not_need)
+{
+    UnevenPool uneven(2);
+    UrgentReserve reserve;
+    StepSpec step;
+    step.taskCount = 6;
+    step.need = {26'000, 140'000, 8};
+    step.gang = true;
+    PlacementRequest request;
+    request.step = &step;
+    request.service = "service";
+    request.tasks = step.taskCount;
+    request.tasksMin = step.taskCount;
+    const auto fits = [&] {
+        return Placement(uneven.pool, uneven.now).find(request).has_value();
+    };
+    reserve.noteDemand("service", 24, uneven.now);
+    reserve.choose(uneven.pool, 0, uneven.now);
+    BOOST_TEST(uneven.kept().size() == 4U);
+    BOOST_TEST(!fits());
+    const state::Instant later = uneven.now + 6s;
+    reserve.noteDemand("service", 10, later);
+    reserve.choose(uneven.pool, 0, later);
+    BOOST_TEST(uneven.kept().size() == 4U);
+    BOOST_TEST(fits());
+    step.taskCount = request.tasks = request.tasksMin = 7; // Two workers are still needed.
+    BOOST_TEST(!fits());
+    step.gang = false;
+    step.taskCount = request.tasks = request.tasksMin = 5; // Single tasks would fill the room at once.
+    BOOST_TEST(!fits());
+}
+
 // Guards against urgent work that leaves ordinary work without any worker.
 BOOST_AUTO_TEST_CASE(at_most_half_of_a_service_is_kept)
 {
