--- a/src/heatherquay/state/batch/scheduler.hpp
+++ b/src/heatherquay/state/batch/scheduler.hpp
@@ -76,11 +76,8 @@
     Duration evictionLead{800};
     /// The same for other jobs, which have longer to wait and lose less of their value when they are late.
     Duration ordinaryEvictionLead{6'000};
-    /// How long a job within a guarantee waits for free resources before it evicts as much as a job at its last chance.
+    /// How long a job within a guarantee waits for free resources before it may evict work of any cost.
     Duration guaranteePatience{200};
-    /// Time after acceptance from which a job within a guarantee evicts work of any cost. Leaves time to stop the
-    /// victims and to start the tasks within the bound of the guarantee.
-    Duration guaranteeEvictionTime{1'000};
     /// Longest wait of an urgent job for a fast worker. After a longer one, it would be late on a fast worker too.
     Duration fastWorkerWait{1'000};
     /// Tasks in one record. A change rewrites the record of its block, so that smaller blocks save bytes; each record
@@ -517,9 +514,8 @@
     /// @return whether all waiting units of the step have a place
     bool placeByEviction(const ReadyStep &ready, Decision &decision, Instant now, Instant wall,
                          const PlacementRequest &base);
-    /// @param guaranteed the step is within its team's guarantee and has waited for free resources
-    /// @return the most core-seconds of lost work per core-second that the step needs
-    double lostWorkLimit(const ReadyStep &ready, bool guaranteed, Instant wall) const;
+    /// @return the most core-seconds of lost work per core-second that the step needs, outside a guarantee
+    double lostWorkLimit(const ReadyStep &ready, Instant wall) const;
     /// Reserves a rack for a gang that does not fit now.
     void reserveRack(const ReadyStep &ready, Decision &decision, Instant now, std::set<std::string> &reservedRacks);
     /// Adds a new reservation to the decision, for the log.
--- a/src/heatherquay/state/batch/scheduler_placing.cpp
+++ b/src/heatherquay/state/batch/scheduler_placing.cpp
@@ -15,7 +15,7 @@
 // A ticket must still be valid when the start order arrives, which is sent only after its record is stored.
 constexpr Duration ticketValidityMargin{200};
 constexpr Duration workSinceCheckpointMax{1'000}; // Assumed maximum of work since the last checkpoint.
-// The most core-seconds of lost work per core-second that the beneficiary needs. The limit is high
+// Outside a guarantee, the most core-seconds of lost work per core-second that the beneficiary needs. The limit is high
 // for urgent jobs: one that starts late loses four fifths of its value, and an urgent job is worth four times as much
 // as other work of its size.
 constexpr double urgentLostWorkRatio = 1.5;
@@ -608,12 +608,8 @@
     return {run, lost, cost};
 }
 
-double Scheduler::lostWorkLimit(const ReadyStep &ready, bool guaranteed, Instant wall) const
+double Scheduler::lostWorkLimit(const ReadyStep &ready, Instant wall) const
 {
-    if (guaranteed) {
-        const bool due = wall - ready.occurrence->dueAt >= m_settings.guaranteeEvictionTime;
-        return due ? std::numeric_limits<double>::max() : detail::urgentLostWorkRatio;
-    }
     if (ready.priority != 0 || ready.lateness == Lateness::Expired) {
         const bool canWait
             = ready.lateness == Lateness::OnTime && wall + m_settings.ordinaryEvictionLead < ready.latestStart;
@@ -658,7 +654,7 @@
     }
     const double needed = coreEquivalents(step.need) * tasks
         * std::chrono::duration<double>(m_estimates.expected(job.spec.queue, step)).count();
-    if (lost > lostWorkLimit(ready, guaranteed, wall) * needed) {
+    if (!guaranteed && lost > lostWorkLimit(ready, wall) * needed) {
         return false;
     }
     for (const Unit *unit : chosen->evictedUnits) {
