Keep room for the urgent demand of 8 s and lend what 3 s do not need

Cause: after a burst, half of the service stayed closed to ordinary single tasks for 20 s, and to gangs for 4 s. Change: the two windows of the reserve; no other change.

--- a/src/heatherquay/state/batch/urgent_reserve.hpp
+++ b/src/heatherquay/state/batch/urgent_reserve.hpp
@@ -15,10 +15,10 @@
 struct UrgentReserveSettings
 {
     bool enabled{true};
-    /// Room is kept for the largest demand of this time. Covers one swing of the load.
-    Duration demandWindow{20'000};
+    /// Room is kept for the largest demand of this time.
+    Duration demandWindow{8'000};
     /// Room beyond the largest demand of this time is lent to gangs of other jobs.
-    Duration lendingWindow{4'000};
+    Duration lendingWindow{3'000};
     double headroom{1.2}; ///< Room kept per accelerator of that demand; covers what gangs cannot use of their racks.
     Duration demandInterval{500}; ///< Resolution of the demand over time.
     double capacityShareMax{0.5}; ///< Largest share of a service's accelerators that is kept.
